--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,12 @@
+import js from '@eslint/js';
+import ts from 'typescript-eslint';
+
+export default ts.config(
+  { ignores: ['target/', 'node_modules/'] },
+  js.configs.recommended,
+  ...ts.configs.recommended,
+  {
+    files: ['tools/**/*.mjs'],
+    languageOptions: { globals: { process: 'readonly', console: 'readonly' } },
+  },
+);
--- /dev/null
+++ b/src/api/handlers.ts
@@ -0,0 +1,214 @@
+/**
+ * The users' interface, on every node, straight against the state store. Accepted, cancelled and done are
+ * said only after a committed conditional write. Final states may come from memory; any other answer
+ * needs a view at least as new as the request.
+ */
+import { Effect, Either } from 'effect';
+import { type Answer, type Incoming, json, retryLater } from '../base/http-server.js';
+import { debug } from '../base/log.js';
+import { type Micros, now } from '../base/micros.js';
+import type { MachineType } from '../fleet/model.js';
+import type { JobCache } from '../jobs/cache.js';
+import { decodeFinal, encodeJob, JOB_ID, readSubmission, STATUS_WORDS } from '../jobs/codec.js';
+import type { Feed } from '../jobs/feed.js';
+import { activeKey, finalKey } from '../jobs/keys.js';
+import type { FinalState, Job, JobSpec } from '../jobs/model.js';
+import type { Settings } from '../settings/settings.js';
+import { Priority } from '../state-store/budget.js';
+import type { StateFailure } from '../state-store/client.js';
+import type { StatePort } from '../state-store/port.js';
+
+export interface ApiDeps {
+  readonly settings: Settings;
+  readonly store: StatePort;
+  readonly feed: Feed;
+  readonly cache: JobCache;
+  readonly types: () => readonly MachineType[] | null;
+  readonly ready: () => boolean;
+  readonly dayTime: () => Micros;
+}
+
+/** Users wait 5 s for a submission; past this we say when to come back. */
+const GIVE_UP = 2_500_000;
+
+const finalAnswer = (id: string, f: FinalState): Answer =>
+  json(200, { id, status: STATUS_WORDS[f.status], done: f.status === 'done' ? f.tasks : undefined, running: 0 });
+
+const activeAnswer = (job: Job): Answer => {
+  const id = job.spec.id;
+  if (job.withdrawn) return json(200, { id, status: STATUS_WORDS.cancelled, done: job.done.size, running: job.placed.size });
+  return json(200, {
+    id,
+    status: job.placed.size > 0 ? STATUS_WORDS.running : STATUS_WORDS.queued,
+    done: job.done.size,
+    running: job.placed.size,
+  });
+};
+
+/** Why a job can never run here; null if it can. */
+export const impossible = (s: JobSpec, settings: Settings, types: readonly MachineType[]): string | null => {
+  const team = settings.teams.find((t) => t.name === s.team);
+  if (!team) return 'unknown team';
+  const fit = types.some(
+    (t) =>
+      (s.types === null || s.types.includes(t.name)) &&
+      (s.zone === null || t.zones.includes(s.zone)) &&
+      s.cpus <= t.cpus + 1e-9 &&
+      s.gpus <= t.gpus + 1e-9 &&
+      s.memGb <= t.memGb + 1e-9,
+  );
+  if (!fit) return 'a task fits no allowed machine type';
+  const count = s.shape === 'array' ? 1 : s.tasks;
+  const l = team.limit;
+  if ((l.cpus > 0 && s.cpus * count > l.cpus + 1e-9) || (l.gpus > 0 && s.gpus * count > l.gpus + 1e-9)) {
+    return 'needs more than the limit of its team';
+  }
+  return null;
+};
+
+export const userHandlers = (d: ApiDeps) => {
+  const unavailable = (e: StateFailure): Effect.Effect<Answer> =>
+    debug('store unavailable', { reason: e._tag === 'Refused' ? `${e.status}` : e.reason }).pipe(
+      Effect.as(retryLater('state unavailable')),
+    );
+
+  /** The job as of now: over, active, or never accepted. */
+  type Found = { readonly final: FinalState } | { readonly job: Job } | null;
+  const lookUp = (id: string): Effect.Effect<Found, StateFailure> =>
+    Effect.gen(function* () {
+      const over = d.cache.finals.get(id);
+      if (over) return { final: over };
+      yield* d.feed.refresh;
+      const known = d.cache.finals.get(id);
+      if (known) return { final: known };
+      const job = d.cache.jobs.get(id);
+      if (job) return { job };
+      const entry = yield* d.store.get(finalKey(id));
+      if (entry === null) return null;
+      const final = decodeFinal(entry.value);
+      d.cache.rememberFinal(id, final);
+      return { final };
+    });
+  const say = (id: string, f: Found): Answer =>
+    f === null ? json(404, { error: 'no such job' }) : 'final' in f ? finalAnswer(id, f.final) : activeAnswer(f.job);
+
+  const submit = (request: Incoming): Effect.Effect<Answer> =>
+    Effect.gen(function* () {
+      if (request.body === null) return json(400, { error: 'body over 64 KiB' });
+      let body: unknown;
+      try {
+        body = JSON.parse(request.body.toString('utf8'));
+      } catch {
+        return json(400, { error: 'not JSON' });
+      }
+      if (typeof body !== 'object' || body === null || Array.isArray(body)) return json(400, { error: 'not an object' });
+      const began = now();
+      const id = (body as { id?: unknown }).id;
+      if (typeof id !== 'string' || !JOB_ID.test(id)) return json(400, { error: 'id: not in the stated form' });
+      // A job that is known gets its state, whatever its body says now.
+      if (!d.feed.loaded) return retryLater('starting');
+      if (d.cache.finals.has(id) || d.cache.jobs.has(id)) return say(id, yield* lookUp(id));
+      const read = readSubmission(body, d.dayTime());
+      const types = d.types();
+      const never = Either.isLeft(read) ? null : types === null ? null : impossible(read.right, d.settings, types);
+      if (Either.isLeft(read) || never !== null) {
+        const found = yield* lookUp(id);
+        if (found !== null) return say(id, found);
+        return Either.isLeft(read) ? json(400, { error: read.left }) : json(422, { error: never });
+      }
+      if (types === null) return retryLater('machine types unknown');
+      const job: Job = {
+        spec: read.right,
+        withdrawn: false,
+        attempt: 0,
+        done: new Set(),
+        placed: new Map(),
+        stamp: 0,
+        folded: 0,
+        touched: 0,
+      };
+      const value = encodeJob(job, 0);
+      if (Buffer.byteLength(JSON.stringify(value)) > d.settings.state.valueBytes) {
+        return json(400, { error: 'job description too large' });
+      }
+      for (;;) {
+        const r = yield* Effect.either(
+          d.store.transact(
+            [
+              { key: activeKey(id), stamp: 0 },
+              { key: finalKey(id), stamp: 0 },
+            ],
+            [{ set: activeKey(id), value }],
+            Priority.Commit,
+            1200,
+          ),
+        );
+        if (r._tag === 'Right') {
+          if (r.right.ok) return json(201, { id, status: STATUS_WORDS.queued });
+          return say(id, yield* lookUp(id));
+        }
+        // Refused or unanswered: the conditions make another try safe either way.
+        if (now() - began > GIVE_UP || (r.left._tag === 'Refused' && r.left.status === 503)) return yield* unavailable(r.left);
+        yield* Effect.sleep(100 + 150 * Math.random());
+      }
+    }).pipe(Effect.catchAll(unavailable));
+
+  const poll = (id: string): Effect.Effect<Answer> =>
+    d.feed.loaded || d.cache.finals.has(id)
+      ? lookUp(id).pipe(
+          Effect.map((f) => say(id, f)),
+          Effect.catchAll(unavailable),
+        )
+      : Effect.succeed(retryLater('starting'));
+
+  const withdraw = (id: string): Effect.Effect<Answer> =>
+    Effect.gen(function* () {
+      if (!d.feed.loaded) return retryLater('starting');
+      const began = now();
+      for (;;) {
+        const found = yield* lookUp(id);
+        if (found === null || 'final' in found || found.job.withdrawn) return say(id, found);
+        const { job } = found;
+        const r = yield* Effect.either(
+          d.store.transact(
+            [{ key: activeKey(id), stamp: job.stamp }],
+            // What the key includes stays what it included: later records still apply on top.
+            [{ set: activeKey(id), value: encodeJob({ ...job, withdrawn: true }, job.touched) }],
+            Priority.Commit,
+            1200,
+          ),
+        );
+        if (r._tag === 'Right' && r.right.ok) return json(200, { id, status: STATUS_WORDS.cancelled });
+        if (now() - began > GIVE_UP) return retryLater('busy');
+        if (r._tag === 'Left' && r.left._tag === 'Refused' && r.left.status === 503) return yield* unavailable(r.left);
+        yield* Effect.sleep(60 + 80 * Math.random());
+      }
+    }).pipe(Effect.catchAll(unavailable));
+
+  return { submit, poll, withdraw };
+};
+
+/** All that arrives on the users' and workers' address. */
+export const route =
+  (
+    users: ReturnType<typeof userHandlers>,
+    report: (r: Incoming) => Effect.Effect<Answer>,
+    ready: () => string | null,
+  ) =>
+  (r: Incoming): Effect.Effect<Answer> => {
+    const wrong = (allow: string) => Effect.succeed(json(405, { error: 'method not allowed' }, { Allow: allow }));
+    if (r.path === '/agent/beat') return r.method === 'POST' ? report(r) : wrong('POST');
+    if (r.path === '/ready') {
+      if (r.method !== 'GET') return wrong('GET');
+      const reason = ready();
+      return Effect.succeed(reason === null ? json(200, { ready: true }) : retryLater(reason));
+    }
+    if (r.path === '/work') return r.method === 'POST' ? users.submit(r) : wrong('POST');
+    const m = /^\/work\/([^/]+)(\/withdraw)?$/.exec(r.path);
+    if (!m) return Effect.succeed(json(404, { error: 'no such path' }));
+    const id = m[1]!;
+    const method = m[2] ? 'POST' : 'GET';
+    if (r.method !== method) return wrong(method);
+    if (!JOB_ID.test(id)) return Effect.succeed(json(404, { error: 'no such job' }));
+    return m[2] ? users.withdraw(id) : users.poll(id);
+  };
--- /dev/null
+++ b/src/fleet/model.ts
@@ -0,0 +1,24 @@
+import type { Micros } from '../base/micros.js';
+
+export interface MachineType {
+  readonly name: string;
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memGb: number;
+  readonly cacheGb: number;
+  readonly fetchGbPerS: number;
+  readonly price: number;
+  readonly spotPrice: number;
+  readonly boot: Micros;
+  readonly zones: readonly string[];
+}
+
+export interface ListedMachine {
+  readonly id: string;
+  readonly addr: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly status: 'booting' | 'running' | 'failed';
+  readonly age: Micros;
+}
--- /dev/null
+++ b/src/fleet/plan.ts
@@ -0,0 +1,141 @@
+/** What to rent and what to return: a pure function of demand, machines and time. */
+import { type Micros, seconds } from '../base/micros.js';
+import type { Job } from '../jobs/model.js';
+import { add, fits, type Room, room } from '../scheduler/model.js';
+import type { MachineType } from './model.js';
+
+export interface Bin {
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly free: Room;
+}
+export interface Demand {
+  readonly job: Job;
+  readonly count: number;
+}
+export interface Idle {
+  readonly id: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly idleFor: Micros;
+  readonly age: Micros;
+}
+export interface Offer {
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+}
+export interface PlanInput {
+  readonly types: readonly MachineType[];
+  /** Room that is there or on its way: free room after the cycle, and machines still booting. */
+  readonly bins: readonly Bin[];
+  readonly demand: readonly Demand[];
+  readonly refused: (o: Offer) => boolean;
+  /** Machines that may still be rented in one step. */
+  readonly most: number;
+}
+export interface Rental extends Offer {
+  count: number;
+}
+
+const offerKey = (o: Offer): string => `${o.type}|${o.zone}|${o.spot}`;
+
+/** How many of a task a whole machine takes. */
+const perMachine = (t: MachineType, need: Room): number => {
+  let n = Number.POSITIVE_INFINITY;
+  const total: Room = [t.cpus, t.gpus, t.memGb];
+  for (let i = 0; i < 3; i++) if (need[i]! > 0) n = Math.min(n, Math.floor((total[i]! + 1e-6) / need[i]!));
+  return n === Number.POSITIVE_INFINITY ? 1000 : n;
+};
+
+/** What a lost hour costs more on spot for a task that saves nothing. */
+const spotWorth = (job: Job): number => (job.spec.checkpoint > 0 ? 1.1 : 1.3);
+
+export const offersFor = (job: Job, types: readonly MachineType[], count: number): Offer[] => {
+  const need = room(job.spec);
+  const out: { offer: Offer; cost: number }[] = [];
+  for (const t of types) {
+    if (job.spec.types !== null && !job.spec.types.includes(t.name)) continue;
+    const n = Math.min(count, perMachine(t, need));
+    if (n < 1) continue;
+    for (const zone of t.zones) {
+      if (job.spec.zone !== null && job.spec.zone !== zone) continue;
+      out.push({ offer: { type: t.name, zone, spot: false }, cost: t.price / n });
+      if (job.spec.spot && t.spotPrice > 0) {
+        out.push({ offer: { type: t.name, zone, spot: true }, cost: (t.spotPrice * spotWorth(job)) / n });
+      }
+    }
+  }
+  out.sort((a, b) => a.cost - b.cost);
+  return out.map((o) => o.offer);
+};
+
+export const rentals = (input: PlanInput): Rental[] => {
+  const types = new Map(input.types.map((t) => [t.name, t]));
+  const bins: Bin[] = input.bins.map((b) => ({ ...b, free: [...b.free] }));
+  const out = new Map<string, Rental>();
+  let left = input.most;
+  const allowed = (job: Job, b: Bin): boolean =>
+    (job.spec.zone === null || job.spec.zone === b.zone) &&
+    (job.spec.types === null || job.spec.types.includes(b.type)) &&
+    (!b.spot || job.spec.spot);
+
+  const open = (o: Offer): Bin | null => {
+    if (left <= 0) return null;
+    const t = types.get(o.type)!;
+    const bin: Bin = { ...o, free: [t.cpus, t.gpus, t.memGb] };
+    bins.push(bin);
+    left--;
+    const r = out.get(offerKey(o));
+    if (r) r.count++;
+    else out.set(offerKey(o), { ...o, count: 1 });
+    return bin;
+  };
+
+  for (const d of input.demand) {
+    const need = room(d.job.spec);
+    let zone: string | null = null;
+    if (d.job.spec.oneZone && d.count > 1) {
+      // The zone that already has the most room for it, or could get it.
+      const zones = new Set([...bins.map((b) => b.zone), ...input.types.flatMap((t) => t.zones)]);
+      let best = -1;
+      for (const z of [...zones].sort()) {
+        let n = 0;
+        for (const b of bins) {
+          if (b.zone !== z || !allowed(d.job, b)) continue;
+          const f: Room = [...b.free];
+          while (n < d.count && fits(need, f)) {
+            add(f, need, -1);
+            n++;
+          }
+        }
+        const offers = offersFor(d.job, input.types, d.count).filter((o) => o.zone === z && !input.refused(o));
+        if (offers.length === 0 && n < d.count) n = -1;
+        if (n > best) {
+          best = n;
+          zone = z;
+        }
+      }
+      if (best < 0) continue;
+    }
+    for (let i = 0; i < d.count; i++) {
+      let bin = bins.find((b) => (zone === null || b.zone === zone) && allowed(d.job, b) && fits(need, b.free));
+      if (!bin) {
+        const offer = offersFor(d.job, input.types, d.count - i).find(
+          (o) => (zone === null || o.zone === zone) && !input.refused(o),
+        );
+        if (!offer) break;
+        bin = open(offer) ?? undefined;
+        if (!bin) break;
+      }
+      add(bin.free, need, -1);
+    }
+  }
+  return [...out.values()];
+};
+
+/** Empty machines to give back: idle long enough, past what is charged anyway, and wanted by nobody. */
+export const returns = (idle: readonly Idle[], patience: (o: Idle) => Micros): string[] =>
+  idle.filter((m) => m.idleFor >= patience(m) && m.age >= seconds(55)).map((m) => m.id);
--- /dev/null
+++ b/src/jobs/codec.ts
@@ -0,0 +1,225 @@
+/** Wire and durable forms of jobs. Wire names stay in this file. */
+import { Either, ParseResult, Schema } from 'effect';
+import { type Micros, seconds } from '../base/micros.js';
+import { decodeRanges, encodeRanges } from '../base/ranges.js';
+import {
+  type CycleRecord,
+  type FinalState,
+  type Job,
+  type JobChange,
+  type JobSpec,
+  type Shape,
+  URGENCY,
+  type Urgency,
+} from './model.js';
+
+const Amount = Schema.Finite.pipe(Schema.nonNegative(), Schema.lessThanOrEqualTo(1e9));
+const ShortText = Schema.String.pipe(Schema.minLength(1), Schema.maxLength(200));
+const NoneOr = <A, I>(s: Schema.Schema<A, I>) => Schema.optionalWith(Schema.NullOr(s), { default: () => null });
+
+export const JOB_ID = /^job-[0-9]{1,32}$/;
+
+const Submission = Schema.Struct({
+  id: Schema.String.pipe(Schema.pattern(JOB_ID)),
+  jobClass: ShortText,
+  owner: Schema.String,
+  shape: Schema.Literal('array', 'ensemble', 'daemon'),
+  urgency: Schema.Literal('production', 'high', 'normal', 'low'),
+  pieces: Schema.Int.pipe(Schema.between(1, 100_000)),
+  vcpus: Amount,
+  accelerators: Amount,
+  memGb: Amount,
+  bundle: ShortText,
+  imageGb: Amount,
+  hostsKinds: NoneOr(Schema.Array(Schema.String)),
+  room: NoneOr(Schema.String),
+  samePlace: Schema.Boolean,
+  scatter: Schema.Boolean,
+  borrowed: Schema.Boolean,
+  expectS: Amount,
+  saveEveryS: Amount,
+  saveTakesS: Amount,
+  dueS: NoneOr(Amount),
+});
+const decodeSubmission = Schema.decodeUnknownEither(Submission, { onExcessProperty: 'ignore', errors: 'first' });
+
+const SHAPES: Record<string, Shape> = { array: 'array', ensemble: 'gang', daemon: 'service' };
+
+/** A submission's body, checked; or the reason it is malformed. */
+export const readSubmission = (body: unknown, submitted: Micros): Either.Either<JobSpec, string> =>
+  decodeSubmission(body).pipe(
+    Either.mapBoth({
+      onLeft: (e) => {
+        const issue = ParseResult.ArrayFormatter.formatErrorSync(e)[0];
+        return `${issue?.path.map(String).join('.') || 'body'}: ${issue?.message ?? 'invalid'}`;
+      },
+      onRight: (b) => ({
+        id: b.id,
+        jobClass: b.jobClass,
+        team: b.owner,
+        shape: SHAPES[b.shape]!,
+        urgency: URGENCY[b.urgency],
+        tasks: b.pieces,
+        cpus: b.vcpus,
+        gpus: b.accelerators,
+        memGb: b.memGb,
+        image: b.bundle,
+        imageGb: b.imageGb,
+        types: b.hostsKinds,
+        zone: b.room,
+        oneZone: b.samePlace,
+        spread: b.scatter,
+        spot: b.borrowed,
+        estimate: seconds(b.expectS),
+        checkpoint: seconds(b.saveEveryS),
+        save: seconds(b.saveTakesS),
+        deadline: b.dueS === null ? null : seconds(b.dueS),
+        submitted,
+      }),
+    }),
+  );
+
+/** Durable form of a job: one key for each. */
+interface Stored {
+  readonly c: string;
+  readonly o: string;
+  readonly s: Shape;
+  readonly u: Urgency;
+  readonly n: number;
+  readonly r: readonly [number, number, number];
+  readonly i: readonly [string, number];
+  readonly h: readonly string[] | null;
+  readonly z: string | null;
+  /** Flags: one zone, spread, spot. */
+  readonly b: readonly [0 | 1, 0 | 1, 0 | 1];
+  /** Microseconds: estimate, checkpoint, save. */
+  readonly e: readonly [number, number, number];
+  readonly l: number | null;
+  readonly t: number;
+  readonly w?: 1;
+  readonly f?: number;
+  readonly a?: number;
+  readonly d?: string;
+  /** machine -> [attempt, tasks][] */
+  readonly p?: Readonly<Record<string, readonly (readonly [number, string])[]>>;
+}
+const bit = (b: boolean): 0 | 1 => (b ? 1 : 0);
+
+export const encodeJob = (job: Job, folded: number): Stored => {
+  const s = job.spec;
+  const p: Record<string, [number, string][]> = {};
+  const groups = new Map<string, Map<number, number[]>>();
+  for (const x of job.placed.values()) {
+    let byAttempt = groups.get(x.machine);
+    if (!byAttempt) groups.set(x.machine, (byAttempt = new Map()));
+    const list = byAttempt.get(x.attempt);
+    if (list) list.push(x.task);
+    else byAttempt.set(x.attempt, [x.task]);
+  }
+  for (const [machine, byAttempt] of groups) {
+    p[machine] = [...byAttempt].map(([attempt, tasks]) => [attempt, encodeRanges(tasks)]);
+  }
+  return {
+    c: s.jobClass,
+    o: s.team,
+    s: s.shape,
+    u: s.urgency,
+    n: s.tasks,
+    r: [s.cpus, s.gpus, s.memGb],
+    i: [s.image, s.imageGb],
+    h: s.types,
+    z: s.zone,
+    b: [bit(s.oneZone), bit(s.spread), bit(s.spot)],
+    e: [s.estimate, s.checkpoint, s.save],
+    l: s.deadline,
+    t: s.submitted,
+    ...(job.withdrawn ? { w: 1 as const } : {}),
+    ...(folded > 0 ? { f: folded } : {}),
+    ...(job.attempt > 0 ? { a: job.attempt } : {}),
+    ...(job.done.size > 0 ? { d: encodeRanges(job.done) } : {}),
+    ...(groups.size > 0 ? { p } : {}),
+  };
+};
+
+export const decodeJob = (id: string, value: unknown, stamp: number): Job => {
+  const v = value as Stored;
+  const placed: Job['placed'] = new Map();
+  for (const [machine, list] of Object.entries(v.p ?? {})) {
+    for (const [attempt, ranges] of list) {
+      for (const task of decodeRanges(ranges)) placed.set(task, { task, attempt, machine });
+    }
+  }
+  return {
+    spec: {
+      id,
+      jobClass: v.c,
+      team: v.o,
+      shape: v.s,
+      urgency: v.u,
+      tasks: v.n,
+      cpus: v.r[0],
+      gpus: v.r[1],
+      memGb: v.r[2],
+      image: v.i[0],
+      imageGb: v.i[1],
+      types: v.h,
+      zone: v.z,
+      oneZone: v.b[0] === 1,
+      spread: v.b[1] === 1,
+      spot: v.b[2] === 1,
+      estimate: v.e[0] as Micros,
+      checkpoint: v.e[1] as Micros,
+      save: v.e[2] as Micros,
+      deadline: v.l as Micros | null,
+      submitted: v.t as Micros,
+    },
+    withdrawn: v.w === 1,
+    attempt: v.a ?? 0,
+    done: new Set(decodeRanges(v.d ?? '')),
+    placed,
+    stamp,
+    folded: v.f ?? 0,
+    touched: v.f ?? 0,
+  };
+};
+
+export const encodeFinal = (f: FinalState): unknown => [f.status === 'done' ? 1 : 0, f.tasks];
+export const decodeFinal = (value: unknown): FinalState => {
+  const [s, tasks] = value as [number, number];
+  return { status: s === 1 ? 'done' : 'cancelled', tasks };
+};
+
+type StoredChange = { d?: string; g?: string; a?: number; p?: Record<string, string> };
+
+export const encodeChange = (c: JobChange): StoredChange => ({
+  ...(c.done?.length ? { d: encodeRanges(c.done) } : {}),
+  ...(c.gone?.length ? { g: encodeRanges(c.gone) } : {}),
+  ...(c.start
+    ? { a: c.start.attempt, p: Object.fromEntries([...c.start.on].map(([m, t]) => [m, encodeRanges(t)])) }
+    : {}),
+});
+
+export const encodeRecord = (jobs: ReadonlyMap<string, JobChange>): unknown =>
+  Object.fromEntries([...jobs].map(([id, c]) => [id, encodeChange(c)]));
+
+export const decodeRecord = (seq: number, value: unknown): CycleRecord => ({
+  seq,
+  jobs: new Map(
+    Object.entries(value as Record<string, StoredChange>).map(([id, c]) => [
+      id,
+      {
+        done: c.d === undefined ? undefined : decodeRanges(c.d),
+        gone: c.g === undefined ? undefined : decodeRanges(c.g),
+        start:
+          c.a === undefined
+            ? undefined
+            : {
+                attempt: c.a,
+                on: new Map(Object.entries(c.p ?? {}).map(([m, t]) => [m, decodeRanges(t)])),
+              },
+      },
+    ]),
+  ),
+});
+
+export const STATUS_WORDS = { queued: 'pending', running: 'running', done: 'done', cancelled: 'aborted' } as const;
--- /dev/null
+++ b/src/jobs/model.ts
@@ -0,0 +1,102 @@
+/**
+ * The domain model: what a job is, what is durably known of it, and the one transition function. Every
+ * node applies the same events in the same order, so every node's view at a revision is the same.
+ */
+import type { Micros } from '../base/micros.js';
+
+export type Shape = 'array' | 'gang' | 'service';
+/** Higher is more urgent. */
+export const URGENCY = { low: 0, normal: 1, high: 2, production: 3 } as const;
+export type Urgency = (typeof URGENCY)[keyof typeof URGENCY];
+
+export interface JobSpec {
+  readonly id: string;
+  readonly jobClass: string;
+  readonly team: string;
+  readonly shape: Shape;
+  readonly urgency: Urgency;
+  readonly tasks: number;
+  readonly cpus: number;
+  readonly gpus: number;
+  readonly memGb: number;
+  readonly image: string;
+  readonly imageGb: number;
+  readonly types: readonly string[] | null;
+  readonly zone: string | null;
+  readonly oneZone: boolean;
+  readonly spread: boolean;
+  readonly spot: boolean;
+  readonly estimate: Micros;
+  readonly checkpoint: Micros;
+  readonly save: Micros;
+  /** From submission; null: none. */
+  readonly deadline: Micros | null;
+  /** Time of day of the first attempt to submit that reached a node. */
+  readonly submitted: Micros;
+}
+
+/** A started task that is not surely gone. */
+export interface Placement {
+  readonly task: number;
+  readonly attempt: number;
+  readonly machine: string;
+}
+
+export interface Job {
+  readonly spec: JobSpec;
+  withdrawn: boolean;
+  /** Attempts are numbered per job and only grow; members of one gang start share a number. */
+  attempt: number;
+  readonly done: Set<number>;
+  readonly placed: Map<number, Placement>;
+  /** Revision of the job's own key. */
+  stamp: number;
+  /** The last cycle record that the job's own key already includes. */
+  folded: number;
+  /** The last cycle record that mentions the job. */
+  touched: number;
+}
+
+/** What one job undergoes in one cycle record. Order inside: ends, then starts. */
+export interface JobChange {
+  /** Tasks completed. A gang completes as a whole. */
+  readonly done?: readonly number[];
+  /** Tasks surely gone without completing. */
+  readonly gone?: readonly number[];
+  /** Starts: the attempt's number and tasks by machine. */
+  readonly start?: { readonly attempt: number; readonly on: ReadonlyMap<string, readonly number[]> };
+}
+
+/** One cycle's durable decisions. */
+export interface CycleRecord {
+  readonly seq: number;
+  readonly jobs: ReadonlyMap<string, JobChange>;
+}
+
+export type FinalState = { readonly status: 'done' | 'cancelled'; readonly tasks: number };
+
+export const applyChange = (job: Job, change: JobChange, seq: number): void => {
+  for (const t of change.done ?? []) {
+    job.done.add(t);
+    job.placed.delete(t);
+  }
+  for (const t of change.gone ?? []) job.placed.delete(t);
+  if (change.start) {
+    job.attempt = Math.max(job.attempt, change.start.attempt);
+    for (const [machine, tasks] of change.start.on) {
+      for (const task of tasks) job.placed.set(task, { task, attempt: change.start.attempt, machine });
+    }
+  }
+  job.touched = Math.max(job.touched, seq);
+};
+
+export const isComplete = (job: Job): boolean => job.done.size === job.spec.tasks && job.spec.shape !== 'service';
+
+/** A job may be closed when nothing of it can still be running. */
+export const finalState = (job: Job): FinalState | null => {
+  if (job.placed.size > 0) return null;
+  if (job.withdrawn) return { status: 'cancelled', tasks: job.spec.tasks };
+  return isComplete(job) ? { status: 'done', tasks: job.spec.tasks } : null;
+};
+
+export const taskKey = (jobId: string, task: number): string => `${jobId}/${task}`;
--- /dev/null
+++ b/src/leadership/leadership.ts
@@ -0,0 +1,143 @@
+/**
+ * Term and lease: the only source of "may I act until T". One key in the state service, attached to a
+ * lease, names the leader; the term key only grows, is the workers' token, and every committing write is
+ * conditional on its revision, so that a deposed leader's late transaction fails.
+ */
+import { Effect } from 'effect';
+import { duty } from '../base/duty.js';
+import { info } from '../base/log.js';
+import { DRIFT, type Micros, millis, plus, seconds, toMillis } from '../base/micros.js';
+import type { JobCache } from '../jobs/cache.js';
+import type { Feed } from '../jobs/feed.js';
+import { LEADER, TERM } from '../jobs/keys.js';
+import type { Settings } from '../settings/settings.js';
+import { Priority } from '../state-store/budget.js';
+import type { StatePort } from '../state-store/port.js';
+
+const MARGIN = millis(150);
+
+export interface Reign {
+  readonly term: number;
+  /** Revision of the term key: the condition of every committing write. */
+  readonly stamp: number;
+  readonly began: Micros;
+}
+
+export class Leadership {
+  private reign: Reign | null = null;
+  private lease: number | null = null;
+  private rightUntil = Number.NEGATIVE_INFINITY;
+  /** After giving way: not before this time, and not before somebody reached this node. */
+  private shunUntil = Number.NEGATIVE_INFINITY;
+  private readonly ttl: Micros;
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly store: StatePort,
+    private readonly feed: Feed,
+    private readonly cache: JobCache,
+    private readonly clock: () => Micros,
+  ) {
+    this.ttl = Math.min(seconds(4), Math.max(seconds(2.5), settings.workers.lease / 5)) as Micros;
+  }
+
+  /** The reign this node may act for right now, or null. */
+  acting(): Reign | null {
+    return this.reign !== null && this.clock() < this.rightUntil ? this.reign : null;
+  }
+
+  /** The node to send workers to, as far as is known. */
+  known(): string | null {
+    return this.cache.leader?.node ?? null;
+  }
+
+  /** A higher token exists: this node is deposed at once. */
+  depose(token: number): void {
+    if (this.reign && token > this.reign.term) this.end();
+  }
+
+  private end(): void {
+    this.reign = null;
+    this.rightUntil = Number.NEGATIVE_INFINITY;
+    this.store.leading(false);
+  }
+
+  /** Gives way to the others, because this node can't serve the workers. */
+  giveWay(reason: string, forMicros: number): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      const lease = this.lease;
+      this.shunUntil = plus(this.clock(), forMicros);
+      this.end();
+      this.lease = null;
+      return info('gives way', { reason }).pipe(
+        Effect.zipRight(lease === null ? Effect.void : this.store.release(lease).pipe(Effect.ignore)),
+      );
+    });
+  }
+
+  /** On orderly stop. */
+  readonly release: Effect.Effect<void> = Effect.suspend(() => this.giveWay('stop', 0));
+
+  private readonly campaign = Effect.gen(this, function* () {
+    if (!this.feed.loaded || this.cache.leader !== null || this.clock() < this.shunUntil) return;
+    yield* this.feed.refresh;
+    if (this.cache.leader !== null) return;
+    const asked = this.clock();
+    const lease = yield* this.store.grant(this.ttl);
+    const term = this.cache.term + 1;
+    const outcome = yield* this.store.transact(
+      [
+        { key: LEADER, stamp: 0 },
+        { key: TERM, stamp: this.cache.termStamp },
+      ],
+      [
+        { set: LEADER, value: { node: this.settings.label, term, lease }, lease },
+        { set: TERM, value: { term } },
+      ],
+      Priority.Lease,
+      1500,
+    );
+    if (!outcome.ok) {
+      yield* Effect.ignore(this.store.release(lease));
+      yield* this.feed.refresh;
+      return;
+    }
+    this.lease = lease;
+    this.rightUntil = plus(asked, this.ttl * (1 - DRIFT) - MARGIN);
+    this.store.leading(true);
+    // Placing needs a view that includes everything earlier terms committed.
+    yield* this.feed.refresh;
+    if (this.cache.term !== term) return;
+    this.reign = { term, stamp: outcome.revision, began: this.clock() };
+    yield* info('leads', { term });
+  });
+
+  private readonly renew = Effect.gen(this, function* () {
+    const lease = this.lease!;
+    const asked = this.clock();
+    const left = this.rightUntil - asked;
+    const kept = yield* this.store.extend(lease, Math.max(200, Math.min(900, toMillis(left)))).pipe(
+      Effect.orElseSucceed(() => null),
+    );
+    if (kept === true && this.lease === lease) this.rightUntil = plus(asked, this.ttl * (1 - DRIFT) - MARGIN);
+    if (kept === false) this.end();
+  });
+
+  readonly run = duty(
+    'leadership',
+    Effect.gen(this, function* () {
+      if (this.reign !== null && this.cache.term > this.reign.term) this.end();
+      if (this.reign !== null && this.clock() >= this.rightUntil) {
+        yield* info('right ran out', { term: this.reign.term });
+        this.end();
+      }
+      if (this.reign !== null) {
+        yield* this.renew;
+        yield* Effect.sleep(toMillis(this.ttl / 5));
+      } else {
+        yield* this.campaign.pipe(Effect.catchAll(() => Effect.void));
+        yield* Effect.sleep(150 + 100 * Math.random());
+      }
+    }).pipe(Effect.forever),
+  );
+}
--- /dev/null
+++ b/src/main.ts
@@ -0,0 +1,82 @@
+/** The controller's entry: flags, checked settings, wiring, orderly stop. */
+import { Command } from 'commander';
+import { Effect, Either, Fiber } from 'effect';
+import { parseAddress } from './base/http-client.js';
+import { serve } from './base/http-server.js';
+import { error, info, logLayer } from './base/log.js';
+import { micros, now } from './base/micros.js';
+import { Cloud } from './fleet/cloud.js';
+import { Peers } from './leadership/peers.js';
+import { makeNode, type Node } from './node.js';
+import { readSettings, type Settings } from './settings/settings.js';
+import { StateStore } from './state-store/client.js';
+import { Workers } from './workers/duty.js';
+
+const version = process.env.LILACVALVE_VERSION ?? 'unbuilt';
+
+const program = (settings: Settings) =>
+  Effect.scoped(
+    Effect.gen(function* () {
+      const store = new StateStore(settings);
+      const parts: { node?: Node } = {};
+      const peers = new Peers(
+        settings,
+        () => ({ from: settings.label, term: parts.node?.term() ?? 0, served: parts.node?.served() ?? false }),
+        now,
+      );
+      const node = makeNode(settings, {
+        store,
+        cloud: new Cloud(settings),
+        workers: new Workers(),
+        otherServed: () => peers.otherServed(),
+        clock: now,
+        dayTime: () => micros(Date.now() * 1000),
+      });
+      parts.node = node;
+      const max = settings.limits.maxConnections;
+      yield* serve(parseAddress(settings.listen), Math.floor(max * 0.8), node.handle);
+      yield* serve(parseAddress(settings.peerListen), Math.max(8, Math.floor(max * 0.05)), peers.handler);
+      yield* info('listening', { node: settings.label, listen: settings.listen, version });
+      yield* Effect.addFinalizer(() => node.leadership.release);
+      yield* Effect.all([node.run, peers.run], { concurrency: 'unbounded' });
+    }),
+  );
+
+const cli = new Command()
+  .name('lilacvalve')
+  .description('Controller node of the lilacvalve cluster scheduler')
+  .version(version)
+  .requiredOption('--config <file>', "the platform's settings file (TOML)")
+  .option('--check', 'only check the settings file, then exit')
+  .showHelpAfterError(false)
+  .parse();
+
+const options = cli.opts<{ config: string; check?: boolean }>();
+const settings = readSettings(options.config);
+if (Either.isLeft(settings)) {
+  process.stderr.write(`settings: ${settings.left}\n`);
+  process.exit(2);
+}
+if (options.check === true) {
+  process.stdout.write('settings ok\n');
+  process.exit(0);
+}
+
+const level = process.env.LOG_LEVEL;
+if (level !== undefined && !['error', 'info', 'debug'].includes(level)) {
+  process.stderr.write(`LOG_LEVEL: must be error, info or debug, not ${JSON.stringify(level)}\n`);
+  process.exit(2);
+}
+
+const main = Effect.runFork(
+  program(settings.right).pipe(
+    Effect.catchAllCause((cause) => error('ended', { reason: String(cause) }).pipe(Effect.as('failed' as const))),
+    Effect.provide(logLayer(level)),
+  ),
+);
+main.addObserver((exit) => {
+  process.exit(exit._tag === 'Success' && exit.value !== 'failed' ? 0 : 1);
+});
+const stop = () => Effect.runFork(Fiber.interrupt(main));
+process.on('SIGTERM', stop);
+process.on('SIGINT', stop);
--- /dev/null
+++ b/src/node.ts
@@ -0,0 +1,159 @@
+/** One controller node: wires the slices together. Effects of the outside world come in as ports. */
+import { Deferred, Effect, Queue } from 'effect';
+import { route, userHandlers } from './api/handlers.js';
+import { duty } from './base/duty.js';
+import { info } from './base/log.js';
+import type { Micros } from './base/micros.js';
+import type { Answer, Incoming } from './base/http-server.js';
+import type { CloudPort } from './fleet/cloud.js';
+import { fleetDuty } from './fleet/duty.js';
+import type { MachineType } from './fleet/model.js';
+import { JobCache } from './jobs/cache.js';
+import { Feed } from './jobs/feed.js';
+import { TERM, TYPES } from './jobs/keys.js';
+import { Leadership, type Reign } from './leadership/leadership.js';
+import { type CycleView, turn, type Turn } from './scheduler/duty.js';
+import type { Settings } from './settings/settings.js';
+import { Priority } from './state-store/budget.js';
+import type { StatePort } from './state-store/port.js';
+import { Book } from './workers/book.js';
+import { type Desk, reportHandler, sendUrgent, type WorkerPort } from './workers/duty.js';
+
+export interface Ports {
+  readonly store: StatePort;
+  readonly cloud: CloudPort;
+  readonly workers: WorkerPort;
+  readonly otherServed: () => boolean;
+  readonly clock: () => Micros;
+  readonly dayTime: () => Micros;
+}
+
+export interface Node {
+  readonly handle: (r: Incoming) => Effect.Effect<Answer>;
+  readonly run: Effect.Effect<never>;
+  readonly served: () => boolean;
+  readonly term: () => number;
+  readonly leadership: Leadership;
+}
+
+/** Between two turns: each costs writes of a budget that all controllers share. */
+const TURN_GAP_MS = 250;
+const TURN_EVERY_MS = 1000;
+
+export const makeNode = (settings: Settings, ports: Ports): Node => {
+  const { store, clock } = ports;
+  const cache = new JobCache();
+  const feed = new Feed(cache, store, clock);
+  const leadership = new Leadership(settings, store, feed, cache, clock);
+  let types: readonly MachineType[] | null = null;
+  const knownTypes = (): readonly MachineType[] | null => types ?? (cache.types as readonly MachineType[] | null);
+
+  const served = (): boolean => {
+    const at = clock();
+    if (at - store.lastServed > 5e6) return false;
+    return store.lastServed >= store.lastRefused || at - store.lastServed < 1.5e6;
+  };
+  /** Why this node can't take requests; null: it can. With the state service out for all, leaving helps nobody. */
+  const unready = (): string | null => {
+    if (!feed.loaded) return 'starting';
+    if (knownTypes() === null) return 'machine types unknown';
+    if (!served() && ports.otherServed()) return 'state service refuses this node';
+    return null;
+  };
+
+  const learnTypes = duty(
+    'types',
+    Effect.gen(function* () {
+      const read = yield* Effect.option(ports.cloud.types());
+      if (read._tag === 'Some') {
+        types = read.value;
+        const reign = leadership.acting();
+        const fixed = types.map((t) => ({ ...t, spotPrice: 0 }));
+        const kept = (cache.types as MachineType[] | null)?.map((t) => ({ ...t, spotPrice: 0 })) ?? null;
+        if (reign && JSON.stringify(fixed) !== JSON.stringify(kept)) {
+          yield* Effect.ignore(
+            store.transact([{ key: TERM, stamp: reign.stamp }], [{ set: TYPES, value: types }], Priority.Commit, 1500),
+          );
+        }
+      }
+      yield* Effect.sleep(knownTypes() === null ? 2000 : leadership.acting() ? 20_000 : 60_000);
+    }).pipe(Effect.forever),
+  );
+
+  let desk: Desk | null = null;
+  const wake = Effect.runSync(Queue.sliding<void>(1));
+  cache.onJobs = () => Queue.unsafeOffer(wake, undefined);
+
+  const session = (reign: Reign) =>
+    Effect.gen(function* () {
+      const book = new Book(settings, cache, reign.term, reign.began);
+      const t: Turn = {
+        settings,
+        store,
+        feed,
+        cache,
+        book,
+        reign,
+        acting: () => leadership.acting()?.term === reign.term,
+        types: () => knownTypes() ?? [],
+        clock,
+        dayTime: ports.dayTime,
+      };
+      const view: CycleView = { result: null, at: reign.began };
+      let gate = yield* Deferred.make<void>();
+      desk = {
+        book,
+        nextTurn: Effect.suspend(() => {
+          Queue.unsafeOffer(wake, undefined);
+          return Deferred.await(gate).pipe(Effect.timeoutOption(600), Effect.asVoid);
+        }),
+      };
+      const turns = Effect.gen(function* () {
+        yield* Queue.take(wake).pipe(Effect.timeoutOption(TURN_EVERY_MS));
+        const mine = gate;
+        gate = yield* Deferred.make<void>();
+        yield* turn(t, view).pipe(Effect.ensuring(Deferred.succeed(mine, undefined)));
+        yield* sendUrgent(book, ports.workers);
+        yield* Effect.sleep(TURN_GAP_MS);
+      }).pipe(Effect.forever);
+      const over = Effect.sleep(100).pipe(Effect.repeat({ while: () => t.acting() }));
+      yield* Effect.raceFirst(
+        over,
+        Effect.all([duty('turns', turns), fleetDuty(t, view, ports.cloud)], { concurrency: 'unbounded' }),
+      );
+    }).pipe(
+      Effect.ensuring(
+        Effect.sync(() => {
+          desk = null;
+        }),
+      ),
+      Effect.zipRight(info('no longer leads', { term: reign.term })),
+    );
+
+  const reigns = duty(
+    'reigns',
+    Effect.suspend(() => {
+      const reign = leadership.acting();
+      return reign === null ? Effect.sleep(50) : session(reign);
+    }).pipe(Effect.forever),
+  );
+
+  const users = userHandlers({
+    settings,
+    store,
+    feed,
+    cache,
+    types: knownTypes,
+    ready: () => unready() === null,
+    dayTime: ports.dayTime,
+  });
+  return {
+    handle: route(users, reportHandler(settings, leadership, () => desk, clock, () => undefined), unready),
+    run: Effect.all([feed.run, leadership.run, learnTypes, reigns], { concurrency: 'unbounded' }).pipe(
+      Effect.zipRight(Effect.never),
+    ),
+    served,
+    term: () => cache.term,
+    leadership,
+  };
+};
--- /dev/null
+++ b/src/scheduler/duty.ts
@@ -0,0 +1,300 @@
+/**
+ * The leader's cycle: looks at the book, runs the pure cycle, makes starts and ends durable in one record,
+ * then lets them take effect. A start is never sent before its record is committed.
+ */
+import { Effect } from 'effect';
+import { debug, info } from '../base/log.js';
+import { type Micros, plus, seconds } from '../base/micros.js';
+import type { JobCache } from '../jobs/cache.js';
+import { encodeChange, encodeFinal, encodeJob, encodeRecord } from '../jobs/codec.js';
+import type { Feed } from '../jobs/feed.js';
+import { activeKey, finalKey, recordKey, TERM } from '../jobs/keys.js';
+import { finalState, isComplete, type Job, type JobChange } from '../jobs/model.js';
+import type { Reign } from '../leadership/leadership.js';
+import type { Settings } from '../settings/settings.js';
+import { Priority } from '../state-store/budget.js';
+import type { Condition, Outcome, Write } from '../state-store/client.js';
+import type { StatePort } from '../state-store/port.js';
+import type { Book } from '../workers/book.js';
+import type { MachineType } from '../fleet/model.js';
+import { schedule } from './cycle.js';
+import type { CycleResult, Holder, NodeView, QueuedJob, Start } from './model.js';
+import { rankOf } from './rank.js';
+
+/** Records to keep before their jobs are folded. */
+const TAIL = 24;
+
+export interface Turn {
+  readonly settings: Settings;
+  readonly store: StatePort;
+  readonly feed: Feed;
+  readonly cache: JobCache;
+  readonly book: Book;
+  readonly reign: Reign;
+  readonly acting: () => boolean;
+  readonly types: () => readonly MachineType[];
+  readonly clock: () => Micros;
+  /** Time of day, for ranks: what is durable was stamped with it. */
+  readonly dayTime: () => Micros;
+}
+
+export const holdersOf = (t: Turn, at: Micros): Holder[] => {
+  const out: Holder[] = [];
+  for (const [machine, on] of t.cache.byMachine) {
+    const m = t.book.machines.get(machine);
+    for (const [key, p] of on) {
+      const leaving =
+        p.job.withdrawn ||
+        t.book.stopping.has(key) ||
+        t.book.isEnding(p.job.spec.id, p.task) ||
+        t.book.isBroken(p.job) ||
+        m === undefined ||
+        !m.confirmed;
+      const run = t.book.running.get(key);
+      const since = run ? at - run.since : 0;
+      const loss = p.job.spec.checkpoint > 0 ? Math.min(since, p.job.spec.save) : since;
+      out.push({ job: p.job, task: p.task, machine, leaving, loss: loss as Micros });
+    }
+  }
+  return out;
+};
+
+export const nodesOf = (t: Turn, at: Micros): NodeView[] => {
+  const types = new Map(t.types().map((k) => [k.name, k]));
+  const out: NodeView[] = [];
+  for (const m of t.book.machines.values()) {
+    const k = types.get(m.type);
+    if (!k || !m.reported) continue;
+    out.push({
+      id: m.id,
+      type: m.type,
+      zone: m.zone,
+      spot: m.spot,
+      total: [k.cpus, k.gpus, k.memGb],
+      images: m.images,
+      open: t.book.open(m, at),
+    });
+  }
+  return out;
+};
+
+const queuedOf = (t: Turn, at: Micros): QueuedJob[] => {
+  const out: QueuedJob[] = [];
+  const day = t.dayTime();
+  // What one job's key must be able to hold.
+  const most = Math.max(50, Math.floor((t.settings.state.valueBytes * 0.5) / 12));
+  for (const job of t.cache.jobs.values()) {
+    if (job.withdrawn || at < t.book.heldUntil(job.spec.id)) continue;
+    if (job.spec.shape === 'gang') {
+      if (job.placed.size > 0 || isComplete(job)) continue;
+      out.push({ job, tasks: Array.from({ length: job.spec.tasks }, (_, i) => i), rank: rankOf(job, day) });
+      continue;
+    }
+    if (job.done.size + job.placed.size >= job.spec.tasks) continue;
+    const tasks: number[] = [];
+    const room = most - job.placed.size;
+    for (let i = 0; i < job.spec.tasks && tasks.length < room; i++) {
+      if (!job.done.has(i) && !job.placed.has(i)) tasks.push(i);
+    }
+    out.push({ job, tasks, rank: rankOf(job, day) });
+  }
+  return out;
+};
+
+/** Ends and starts of one record, within the limits of one transaction. */
+interface Draft {
+  readonly jobs: Map<string, JobChange>;
+  readonly when: Condition[];
+  readonly finals: { job: Job; final: ReturnType<typeof finalState> }[];
+  readonly whole: boolean;
+}
+
+const draftOf = (t: Turn, starts: readonly Start[]): Draft => {
+  const jobs = new Map<string, JobChange>();
+  const when: Condition[] = [];
+  const finals: Draft['finals'] = [];
+  let bytes = 2;
+  let whole = true;
+  const limit = t.settings.state.valueBytes * 0.85;
+  const mostConditions = t.settings.state.txnOps * 4 - 4;
+  const put = (id: string, c: JobChange): boolean => {
+    const size = JSON.stringify(encodeChange(c)).length + id.length + 6;
+    if (bytes + size > limit) {
+      whole = false;
+      return false;
+    }
+    bytes += size;
+    jobs.set(id, c);
+    return true;
+  };
+  for (const [id, e] of t.book.ends) {
+    const job = t.cache.jobs.get(id);
+    // A gang that completed is done as a whole, whatever else its members said.
+    const gone = [...e.gone].filter((x) => !e.done.has(x));
+    if (job) put(id, { done: [...e.done], gone });
+  }
+  for (const s of starts) {
+    if (when.length >= mostConditions || jobs.has(s.job.spec.id)) {
+      whole = false;
+      continue;
+    }
+    if (put(s.job.spec.id, { start: { attempt: s.attempt, on: s.on } })) {
+      // Conditional on the job's key: a job withdrawn in this moment is not started.
+      when.push({ key: activeKey(s.job.spec.id), stamp: s.job.stamp });
+    }
+  }
+  return { jobs, when, finals, whole };
+};
+
+/** Sends one transaction until its outcome is known, or the right to act is gone. */
+const settle = (t: Turn, when: readonly Condition[], then: readonly Write[], probe: string): Effect.Effect<Outcome | null> =>
+  Effect.gen(function* () {
+    let unsure = false;
+    for (;;) {
+      if (!t.acting()) return null;
+      const r = yield* Effect.either(t.store.transact(when, then, Priority.Commit, 1200));
+      if (r._tag === 'Right') {
+        // Sent before without an answer, and now its own key stands in the way: the first copy was applied.
+        if (!r.right.ok && unsure && r.right.failed.includes(probe) && !r.right.failed.includes(TERM)) {
+          return { ok: true, revision: r.right.revision } as const;
+        }
+        return r.right;
+      }
+      if (r.left._tag === 'NoAnswer') unsure = true;
+      yield* Effect.sleep(60 + 80 * Math.random());
+    }
+  });
+
+const commit = (t: Turn, starts: readonly Start[]) =>
+  Effect.gen(function* () {
+    const draft = draftOf(t, starts);
+    if (draft.jobs.size === 0) return true;
+    const seq = t.cache.lastSeq + 1;
+    const key = recordKey(seq);
+    const outcome = yield* settle(
+      t,
+      [{ key: TERM, stamp: t.reign.stamp }, { key, stamp: 0 }, ...draft.when],
+      [{ set: key, value: encodeRecord(draft.jobs) }],
+      key,
+    );
+    if (outcome === null) return false;
+    if (!outcome.ok) {
+      yield* Effect.ignore(t.feed.refresh);
+      t.book.dirty = true;
+      yield* debug('record refused', { term: t.reign.term, seq, failed: outcome.failed.join(',') });
+      return false;
+    }
+    t.cache.addRecord({ seq, jobs: draft.jobs });
+    let started = 0;
+    for (const [id, c] of draft.jobs) {
+      t.book.settled(id, c.done ?? [], c.gone ?? []);
+      for (const on of c.start?.on.values() ?? []) started += on.length;
+    }
+    if (!draft.whole) t.book.dirty = true;
+    yield* debug('record', { term: t.reign.term, seq, jobs: draft.jobs.size, started });
+    return true;
+  });
+
+/** Moves jobs that are over to their final keys. Whoever writes a job's key first, withdrawal or this, wins. */
+const finish = (t: Turn) =>
+  Effect.gen(function* () {
+    const over: Job[] = [];
+    for (const job of t.cache.jobs.values()) {
+      if (finalState(job) !== null && !t.book.ends.has(job.spec.id)) over.push(job);
+      if (over.length * 2 + 2 > Math.min(t.settings.state.txnOps, 12)) break;
+    }
+    if (over.length === 0) return;
+    const finals = over.map((job) => ({ job, id: job.spec.id, stamp: job.stamp, final: finalState(job)! }));
+    const when: Condition[] = [{ key: TERM, stamp: t.reign.stamp }];
+    const then: Write[] = [];
+    for (const f of finals) {
+      when.push({ key: activeKey(f.id), stamp: f.stamp });
+      then.push({ delete: activeKey(f.id) }, { set: finalKey(f.id), value: encodeFinal(f.final) });
+    }
+    const outcome = yield* settle(t, when, then, activeKey(finals[0]!.id));
+    if (outcome === null) return;
+    // Applied or not, the watch's view decides what became of each job.
+    yield* Effect.ignore(t.feed.refresh);
+    if (outcome.ok) for (const f of finals) yield* info('job over', { job: f.id, status: f.final.status });
+    else t.book.dirty = true;
+  });
+
+/** Shortens the tail: writes the jobs of the oldest records into their own keys, then deletes the records. */
+const fold = (t: Turn) =>
+  Effect.gen(function* () {
+    if (t.cache.tail.size <= TAIL) return;
+    const upTo = t.cache.lastSeq;
+    const ops = t.settings.state.txnOps;
+    const when: Condition[] = [{ key: TERM, stamp: t.reign.stamp }];
+    const then: Write[] = [];
+    const jobs = new Set<Job>();
+    let bytes = 0;
+    const seqs = [...t.cache.tail.keys()].sort((a, b) => a - b).slice(0, -1);
+    for (const seq of seqs) {
+      const more: Job[] = [];
+      for (const id of t.cache.tail.get(seq)!.jobs.keys()) {
+        const job = t.cache.jobs.get(id);
+        if (job && job.folded < seq && !jobs.has(job)) more.push(job);
+      }
+      if (then.length + more.length + 1 > Math.min(ops, 10) && then.length > 0) break;
+      const writes: Write[] = more.map((job) => ({ set: activeKey(job.spec.id), value: encodeJob(job, upTo) }));
+      const size = JSON.stringify(writes).length;
+      if (bytes + size > 48 * 1024 && then.length > 0) break;
+      if (then.length + writes.length + 1 > ops) {
+        // More jobs than one transaction takes: fold some, the record goes later.
+        const some = writes.slice(0, ops);
+        then.push(...some);
+        for (const job of more.slice(0, ops)) when.push({ key: activeKey(job.spec.id), stamp: job.stamp });
+        break;
+      }
+      bytes += size;
+      then.push(...writes, { delete: recordKey(seq) });
+      for (const job of more) {
+        jobs.add(job);
+        when.push({ key: activeKey(job.spec.id), stamp: job.stamp });
+      }
+    }
+    if (then.length === 0) return;
+    const outcome = yield* settle(t, when, then, '');
+    if (outcome !== null) yield* Effect.ignore(t.feed.refresh);
+  });
+
+export interface CycleView {
+  result: CycleResult | null;
+  at: Micros;
+}
+
+/** One turn: ends first, so that freed room can be used, then the cycle and its starts. */
+export const turn = (t: Turn, view: CycleView) =>
+  Effect.gen(function* () {
+    const at = t.clock();
+    for (const machine of t.book.lapse(at)) yield* info('lease lapsed', { term: t.reign.term, machine });
+    t.book.dirty = false;
+    t.book.recalls(at);
+    if (t.book.ends.size > 0 && !(yield* commit(t, []))) return;
+    if (!t.acting()) return;
+    for (const job of t.cache.jobs.values()) {
+      if (job.placed.size > 0 && (job.withdrawn || t.book.isBroken(job))) t.book.clearAway(job);
+    }
+    const queued = queuedOf(t, at);
+    const result = schedule({
+      now: at,
+      teams: t.settings.teams,
+      weights: new Map(),
+      nodes: nodesOf(t, at),
+      holders: holdersOf(t, at),
+      queued,
+      avoid: (job, machine) => t.book.avoid(job, machine),
+    });
+    view.result = result;
+    view.at = at;
+    for (const s of result.stops) {
+      const spec = s.job.spec;
+      t.book.stop(s.job, s.task, spec.checkpoint > 0 ? plus(spec.save, seconds(2)) : (0 as Micros), at);
+    }
+    if (result.stops.length > 0) yield* info('stops for others', { term: t.reign.term, tasks: result.stops.length });
+    if (result.starts.length > 0) yield* commit(t, result.starts);
+    if (!t.acting()) return;
+    yield* finish(t);
+    if (t.acting()) yield* fold(t);
+  });
--- /dev/null
+++ b/src/scheduler/model.ts
@@ -0,0 +1,82 @@
+import type { Micros } from '../base/micros.js';
+import type { Job } from '../jobs/model.js';
+import type { TeamSettings } from '../settings/settings.js';
+
+/** CPUs, GPUs, memory. */
+export type Room = [number, number, number];
+
+export const room = (s: { cpus: number; gpus: number; memGb: number }): Room => [s.cpus, s.gpus, s.memGb];
+export const EPSILON = 1e-6;
+export const fits = (need: Room, have: Room): boolean =>
+  need[0] <= have[0] + EPSILON && need[1] <= have[1] + EPSILON && need[2] <= have[2] + EPSILON;
+export const add = (a: Room, b: Room, times = 1): void => {
+  a[0] += b[0] * times;
+  a[1] += b[1] * times;
+  a[2] += b[2] * times;
+};
+
+/** A machine that may get work. */
+export interface NodeView {
+  readonly id: string;
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly total: Room;
+  readonly images: ReadonlySet<string>;
+  /** May take new tasks now; if not, its tasks still count. */
+  readonly open: boolean;
+}
+
+/** A task that holds room. */
+export interface Holder {
+  readonly job: Job;
+  readonly task: number;
+  readonly machine: string;
+  /** Told to stop, or otherwise about to leave: its room is coming, it can't be displaced again. */
+  readonly leaving: boolean;
+  /** What stopping it now would throw away. */
+  readonly loss: Micros;
+}
+
+export interface CycleInput {
+  readonly now: Micros;
+  readonly teams: readonly TeamSettings[];
+  /** Reciprocal of the priority factor; 1 where nothing says otherwise. */
+  readonly weights: ReadonlyMap<string, number>;
+  readonly nodes: readonly NodeView[];
+  readonly holders: readonly Holder[];
+  /** Jobs with tasks to start, and how many may be started at once. */
+  readonly queued: readonly QueuedJob[];
+  /** Machines a job should avoid, because it failed there. */
+  readonly avoid: (jobId: string, machine: string) => boolean;
+}
+
+export interface QueuedJob {
+  readonly job: Job;
+  readonly tasks: readonly number[];
+  /** Smaller goes first among the same urgency in the team's queue. */
+  readonly rank: number;
+}
+
+export interface Start {
+  readonly job: Job;
+  readonly attempt: number;
+  readonly on: Map<string, number[]>;
+}
+export interface Stop {
+  readonly job: Job;
+  readonly task: number;
+  readonly machine: string;
+}
+export interface Unplaced {
+  readonly job: Job;
+  /** How many of its tasks found no room. */
+  readonly count: number;
+}
+export interface CycleResult {
+  readonly starts: Start[];
+  readonly stops: Stop[];
+  readonly unplaced: Unplaced[];
+  /** Room still free on each machine after the cycle. */
+  readonly free: Map<string, Room>;
+}
--- /dev/null
+++ b/src/settings/settings.ts
@@ -0,0 +1,182 @@
+/** The platform's settings file: TOML checked by Schema. Unknown fields are ignored. */
+import { readFileSync } from 'node:fs';
+import { Either, ParseResult, Schema } from 'effect';
+import { parse } from 'smol-toml';
+import { type Micros, millis, seconds } from '../base/micros.js';
+
+const Address = Schema.String.pipe(
+  Schema.pattern(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, { message: () => 'must be IPv4:port' }),
+);
+const Amount = Schema.Finite.pipe(Schema.nonNegative());
+const Positive = Schema.Finite.pipe(Schema.positive());
+const opt = <A, I>(s: Schema.Schema<A, I>, value: A) => Schema.optionalWith(s, { default: () => value });
+
+const File = Schema.Struct({
+  label: Schema.NonEmptyString,
+  zone: Schema.NonEmptyString,
+  listen: Address,
+  cluster_listen: Address,
+  others: opt(
+    Schema.Array(Schema.Struct({ label: Schema.NonEmptyString, zone: Schema.String, peer_addr: Address })),
+    [],
+  ),
+  services: Schema.Struct({ cloud: Address, state: Address }),
+  cluster: Schema.Struct({
+    nodes: Schema.Int.pipe(Schema.positive()),
+    zones: opt(Schema.Array(Schema.String), []),
+    skew_ms: opt(Amount, 0),
+    teams: Schema.Array(
+      Schema.Struct({
+        name: Schema.NonEmptyString,
+        cpus: opt(Amount, 0),
+        cpus_max: opt(Amount, 0),
+        gpus: opt(Amount, 0),
+        gpus_max: opt(Amount, 0),
+      }),
+    ),
+    objectives: opt(
+      Schema.Array(
+        Schema.Struct({
+          kind: Schema.String,
+          class: opt(Schema.String, ''),
+          within_s: opt(Amount, 0),
+          share: opt(Amount, 0),
+          times: opt(Amount, 1),
+        }),
+      ),
+      [],
+    ),
+    workers: Schema.Struct({
+      report_s: Positive,
+      lease_s: Positive,
+      gang_wait_s: Positive,
+      gang_peer_s: Positive,
+      cancel_s: Positive,
+    }),
+    state: Schema.Struct({
+      rps: Positive,
+      write_rps: Positive,
+      value_kb: Positive,
+      txn_ops: Schema.Int.pipe(Schema.positive()),
+    }),
+    cloud: Schema.Struct({ rps: Positive, list_lag_s: Amount }),
+    machine_limits: Schema.Struct({
+      cores: Positive,
+      memory_mb: Positive,
+      max_connections: Schema.Int.pipe(Schema.positive()),
+    }),
+  }),
+});
+
+export interface Peer {
+  readonly label: string;
+  readonly zone: string;
+  readonly address: string;
+}
+/** Zero in a limit means the team has none; zero in a guarantee means nothing is guaranteed. */
+export interface TeamSettings {
+  readonly name: string;
+  readonly guarantee: { readonly cpus: number; readonly gpus: number };
+  readonly limit: { readonly cpus: number; readonly gpus: number };
+}
+export interface Objective {
+  readonly kind: string;
+  readonly jobClass: string;
+  readonly within: Micros;
+  readonly share: number;
+  readonly times: number;
+}
+export interface Settings {
+  readonly label: string;
+  readonly zone: string;
+  readonly listen: string;
+  readonly peerListen: string;
+  readonly peers: readonly Peer[];
+  readonly cloudAddress: string;
+  readonly stateAddress: string;
+  readonly nodes: number;
+  readonly zones: readonly string[];
+  readonly skew: Micros;
+  readonly teams: readonly TeamSettings[];
+  readonly objectives: readonly Objective[];
+  readonly workers: {
+    readonly report: Micros;
+    readonly lease: Micros;
+    readonly gangWait: Micros;
+    readonly gangPeer: Micros;
+    readonly cancel: Micros;
+  };
+  readonly state: { readonly rps: number; readonly writeRps: number; readonly valueBytes: number; readonly txnOps: number };
+  readonly cloud: { readonly rps: number; readonly listLag: Micros };
+  readonly limits: { readonly cores: number; readonly memoryMb: number; readonly maxConnections: number };
+}
+
+const decodeFile = Schema.decodeUnknownEither(File, { onExcessProperty: 'ignore', errors: 'first' });
+
+/** Either a checked configuration, or one line that names the field and the reason. */
+export const parseSettings = (text: string): Either.Either<Settings, string> => {
+  let raw: unknown;
+  try {
+    raw = parse(text);
+  } catch (e) {
+    return Either.left(`not TOML: ${(e as Error).message.split('\n')[0]}`);
+  }
+  const decoded = decodeFile(raw);
+  if (Either.isLeft(decoded)) {
+    const issue = ParseResult.ArrayFormatter.formatErrorSync(decoded.left)[0];
+    return Either.left(`${issue?.path.map(String).join('.') || 'file'}: ${issue?.message.replace(/\s+/g, ' ') ?? 'invalid'}`);
+  }
+  const f = decoded.right;
+  const w = f.cluster.workers;
+  return Either.right({
+    label: f.label,
+    zone: f.zone,
+    listen: f.listen,
+    peerListen: f.cluster_listen,
+    peers: f.others.map((o) => ({ label: o.label, zone: o.zone, address: o.peer_addr })),
+    cloudAddress: f.services.cloud,
+    stateAddress: f.services.state,
+    nodes: f.cluster.nodes,
+    zones: f.cluster.zones,
+    skew: millis(f.cluster.skew_ms),
+    teams: f.cluster.teams.map((t) => ({
+      name: t.name,
+      guarantee: { cpus: t.cpus, gpus: t.gpus },
+      limit: { cpus: t.cpus_max, gpus: t.gpus_max },
+    })),
+    objectives: f.cluster.objectives.map((o) => ({
+      kind: o.kind,
+      jobClass: o.class,
+      within: seconds(o.within_s),
+      share: o.share,
+      times: o.times,
+    })),
+    workers: {
+      report: seconds(w.report_s),
+      lease: seconds(w.lease_s),
+      gangWait: seconds(w.gang_wait_s),
+      gangPeer: seconds(w.gang_peer_s),
+      cancel: seconds(w.cancel_s),
+    },
+    state: {
+      rps: f.cluster.state.rps,
+      writeRps: f.cluster.state.write_rps,
+      valueBytes: Math.floor(f.cluster.state.value_kb * 1024),
+      txnOps: f.cluster.state.txn_ops,
+    },
+    cloud: { rps: f.cluster.cloud.rps, listLag: seconds(f.cluster.cloud.list_lag_s) },
+    limits: {
+      cores: f.cluster.machine_limits.cores,
+      memoryMb: f.cluster.machine_limits.memory_mb,
+      maxConnections: f.cluster.machine_limits.max_connections,
+    },
+  });
+};
+
+export const readSettings = (path: string): Either.Either<Settings, string> => {
+  try {
+    return parseSettings(readFileSync(path, 'utf8'));
+  } catch (e) {
+    return Either.left(`cannot read: ${(e as Error).message}`);
+  }
+};
--- /dev/null
+++ b/src/workers/book.ts
@@ -0,0 +1,409 @@
+/**
+ * The leader's book of machines and what may run on them. Deterministic: reports, answers of the cloud and
+ * the time go in; orders and observed ends come out. Nothing here is durable: the starts and ends that
+ * count stand in the store, and the book is made anew by every term.
+ */
+import { DRIFT, type Micros, plus, seconds } from '../base/micros.js';
+import type { ListedMachine } from '../fleet/model.js';
+import type { JobCache } from '../jobs/cache.js';
+import { type Job, type Placement, taskKey } from '../jobs/model.js';
+import type { Settings } from '../settings/settings.js';
+import type { ExitCause, Order, Report, ReportedTask } from './codec.js';
+
+export interface Machine {
+  readonly id: string;
+  addr: string;
+  type: string;
+  zone: string;
+  spot: boolean;
+  tenure: number;
+  tick: number;
+  /** When a report of it was last answered: its lease may run from there. */
+  lastAnswered: Micros;
+  reported: boolean;
+  /** A report has shown that the worker knows this term's token: no older leader's answer can reach it any more. */
+  confirmed: boolean;
+  recallAt: Micros | null;
+  readonly tasks: Map<string, ReportedTask>;
+  /** The latest report carried this term's token, so what it lacks is surely not there. */
+  conclusive: boolean;
+  /** Tasks reported in this term and session. */
+  readonly seen: Set<string>;
+  /** Tasks reported that the record does not know. */
+  strangers: boolean;
+  listed: ListedMachine['status'] | null;
+  /** When the machine became known or was rented, for the first time it was charged. */
+  since: Micros;
+  emptySince: Micros | null;
+  closed: string | null;
+  images: Set<string>;
+  readonly failedJobs: Set<string>;
+  cooldownUntil: Micros;
+}
+
+export interface Running {
+  /** When this attempt was first seen running. */
+  readonly since: Micros;
+  readonly machine: string;
+}
+
+interface Stopping {
+  readonly attempt: number;
+  grace: Micros;
+  readonly at: Micros;
+}
+
+export interface Ends {
+  readonly done: Set<number>;
+  readonly gone: Set<number>;
+}
+
+const ZERO = 0 as Micros;
+
+export class Book {
+  readonly machines = new Map<string, Machine>();
+  private readonly deleted = new Set<string>();
+  /** Observed and not yet durable. */
+  readonly ends = new Map<string, Ends>();
+  readonly stopping = new Map<string, Stopping>();
+  readonly running = new Map<string, Running>();
+  /** Jobs that failed, and where: `error` exits of this term. */
+  private readonly failures = new Map<string, { machines: Set<string>; count: number; until: Micros }>();
+  private readonly holds = new Map<string, Micros>();
+  /** Stops that should also go out directly. */
+  urgent: { machine: Machine; order: Order }[] = [];
+  /** Something a cycle should look at has changed. */
+  dirty = true;
+
+  constructor(
+    private readonly settings: Settings,
+    private readonly cache: JobCache,
+    readonly term: number,
+    readonly began: Micros,
+  ) {}
+
+  machine(id: string, at: Micros, info: { addr: string; type: string; zone: string; spot: boolean }): Machine {
+    let m = this.machines.get(id);
+    if (!m) {
+      m = {
+        id,
+        ...info,
+        tenure: 0,
+        tick: -1,
+        lastAnswered: this.began,
+        reported: false,
+        confirmed: false,
+        recallAt: null,
+        tasks: new Map(),
+        conclusive: false,
+        seen: new Set(),
+        strangers: false,
+        listed: null,
+        since: at,
+        emptySince: null,
+        closed: null,
+        images: new Set(),
+        failedJobs: new Set(),
+        cooldownUntil: ZERO,
+      };
+      this.machines.set(id, m);
+    }
+    return m;
+  }
+
+  wasDeleted(id: string): boolean {
+    return this.deleted.has(id);
+  }
+
+  private end(job: Job, task: number, how: 'done' | 'gone'): void {
+    const id = job.spec.id;
+    let e = this.ends.get(id);
+    if (!e) this.ends.set(id, (e = { done: new Set(), gone: new Set() }));
+    if (how === 'done') {
+      // A gang completes as a whole.
+      if (job.spec.shape === 'gang') for (let t = 0; t < job.spec.tasks; t++) e.done.add(t);
+      else e.done.add(task);
+    } else if (!e.done.has(task)) e.gone.add(task);
+    this.dirty = true;
+  }
+
+  isEnding(jobId: string, task: number): boolean {
+    const e = this.ends.get(jobId);
+    return e !== undefined && (e.done.has(task) || e.gone.has(task));
+  }
+
+  /** A gang that lost a member of its attempt: the others must go before a fresh attempt. */
+  private broken(job: Job): boolean {
+    if (job.spec.shape !== 'gang' || job.placed.size === 0) return false;
+    return job.placed.size < job.spec.tasks || (this.ends.get(job.spec.id)?.gone.size ?? 0) > 0;
+  }
+
+  private wanted(p: Placement & { readonly job: Job }, m: Machine): boolean {
+    const key = taskKey(p.job.spec.id, p.task);
+    return m.recallAt === null && !p.job.withdrawn && !this.stopping.has(key) && !this.broken(p.job);
+  }
+
+  /** Takes a report in. null: it is older than what is known, or the machine is gone. */
+  report(r: Report, at: Micros): Machine | null {
+    if (this.deleted.has(r.machine)) return null;
+    const m = this.machine(r.machine, at, r);
+    if (m.reported && (r.tenure < m.tenure || (r.tenure === m.tenure && r.tick <= m.tick))) return null;
+    if (m.reported && r.tenure > m.tenure) {
+      // The session before has ended, and everything it held with it.
+      for (const key of m.seen) this.lost(m, key);
+      m.seen.clear();
+    }
+    if (!m.reported) this.dirty = true;
+    m.addr = r.addr;
+    m.type = r.type;
+    m.zone = r.zone;
+    m.spot = r.spot;
+    m.tenure = r.tenure;
+    m.tick = r.tick;
+    m.lastAnswered = at;
+    m.reported = true;
+    m.conclusive = r.token === this.term;
+    if (m.conclusive && !m.confirmed) {
+      m.confirmed = true;
+      this.dirty = true;
+    }
+    const recallAt = r.recall === null ? null : plus(at, r.recall);
+    if ((recallAt === null) !== (m.recallAt === null)) this.dirty = true;
+    m.recallAt = recallAt;
+    m.tasks.clear();
+    for (const t of r.tasks) m.tasks.set(t.key, t);
+
+    const on = this.cache.byMachine.get(m.id);
+    const strangers = m.strangers;
+    m.strangers = false;
+    for (const t of r.tasks) {
+      const p = on?.get(t.key);
+      if (p && p.attempt === t.attempt) this.observe(m, p, t, at);
+      else if (t.status !== 'exited') m.strangers = true;
+    }
+    if (strangers !== m.strangers) this.dirty = true;
+    for (const [key, p] of on ?? []) {
+      if (m.tasks.has(key) || this.isEnding(p.job.spec.id, p.task)) continue;
+      // Seen before and not there any more, or: never arrived, and only our own next answer could still bring it.
+      if (m.seen.has(key) || (m.conclusive && !this.wanted(p, m))) this.gone(p.job, p.task);
+    }
+    const empty = r.tasks.every((t) => t.status === 'exited') && (on?.size ?? 0) === 0;
+    if (!empty) m.emptySince = null;
+    else m.emptySince ??= at;
+    return m;
+  }
+
+  /** What the answer to the machine's latest report should say. */
+  orders(m: Machine): Order[] {
+    const on = this.cache.byMachine.get(m.id);
+    const orders: Order[] = [];
+    for (const t of m.tasks.values()) {
+      const p = on?.get(t.key);
+      if (!p || p.attempt !== t.attempt) {
+        // Unknown to the record, or of an attempt that is over: a completion is durable by now, so it may go.
+        if (t.status === 'exited') orders.push({ op: 'forget', key: t.key, attempt: t.attempt });
+        else orders.push({ op: 'stop', key: t.key, attempt: t.attempt, grace: ZERO });
+        continue;
+      }
+      if (t.status === 'exited') continue;
+      const stop = this.stopping.get(t.key);
+      if (p.job.withdrawn || this.broken(p.job)) {
+        orders.push({ op: 'stop', key: t.key, attempt: t.attempt, grace: ZERO });
+      } else if (stop && stop.attempt === t.attempt && t.status !== 'saving') {
+        orders.push({ op: 'stop', key: t.key, attempt: t.attempt, grace: stop.grace });
+      }
+    }
+    for (const [key, p] of on ?? []) {
+      if (!m.conclusive || m.tasks.has(key) || m.seen.has(key) || this.isEnding(p.job.spec.id, p.task)) continue;
+      if (this.wanted(p, m)) orders.push({ op: 'start', key, attempt: p.attempt });
+    }
+    return orders;
+  }
+
+  private gone(job: Job, task: number): void {
+    const key = taskKey(job.spec.id, task);
+    this.running.delete(key);
+    this.stopping.delete(key);
+    this.end(job, task, 'gone');
+  }
+
+  private lost(m: Machine, key: string): void {
+    const p = this.cache.byMachine.get(m.id)?.get(key);
+    if (p && !this.isEnding(p.job.spec.id, p.task)) this.gone(p.job, p.task);
+  }
+
+  private observe(m: Machine, p: Placement & { readonly job: Job }, t: ReportedTask, at: Micros): void {
+    const { job } = p;
+    m.seen.add(t.key);
+    if (t.status !== 'exited') {
+      if (t.status === 'running' && !this.running.has(t.key)) this.running.set(t.key, { since: at, machine: m.id });
+      if (t.status !== 'fetching') m.images.add(job.spec.image);
+      return;
+    }
+    if (this.isEnding(job.spec.id, p.task)) return;
+    this.running.delete(t.key);
+    this.stopping.delete(t.key);
+    if (t.cause === 'done') this.end(job, p.task, 'done');
+    else {
+      this.end(job, p.task, 'gone');
+      this.exited(m, job, t.cause!, at);
+    }
+  }
+
+  private exited(m: Machine, job: Job, cause: ExitCause, at: Micros): void {
+    const id = job.spec.id;
+    if (cause === 'error') {
+      let f = this.failures.get(id);
+      if (!f) this.failures.set(id, (f = { machines: new Set(), count: 0, until: ZERO }));
+      f.machines.add(m.id);
+      f.count++;
+      // Failing on machine after machine: more likely the job's own fault. Retried ever more seldom.
+      if (f.machines.size >= 3) f.until = plus(at, Math.min(60e6, 2e6 * 2 ** Math.min(5, f.count - 3)));
+      m.failedJobs.add(id);
+      const honest = [...m.failedJobs].filter((j) => (this.failures.get(j)?.machines.size ?? 0) < 3);
+      if (honest.length >= 2 && m.closed === null) m.closed = 'faulty';
+    } else if (cause === 'no-room') m.cooldownUntil = plus(at, 2e6);
+    else if (cause === 'unknown' || cause === 'busy') this.holds.set(id, plus(at, 2e6));
+  }
+
+  /** Not before this time should the job be started again. */
+  heldUntil(jobId: string): Micros {
+    return Math.max(this.failures.get(jobId)?.until ?? 0, this.holds.get(jobId) ?? 0) as Micros;
+  }
+
+  avoid(jobId: string, machine: string): boolean {
+    const f = this.failures.get(jobId);
+    return f !== undefined && f.machines.size < 3 && f.machines.has(machine);
+  }
+
+  /** A worker's lease, from the answer that may have renewed it last, has surely lapsed after this. */
+  leaseEnd(m: Machine): Micros {
+    return plus(m.lastAnswered, this.settings.workers.lease * (1 + 2 * DRIFT) + seconds(1));
+  }
+
+  /** Declares what lapsed leases have surely ended. */
+  lapse(at: Micros): string[] {
+    const out: string[] = [];
+    for (const [id, on] of this.cache.byMachine) {
+      const m = this.machines.get(id);
+      const end = m ? this.leaseEnd(m) : plus(this.began, this.settings.workers.lease * (1 + 2 * DRIFT) + seconds(1));
+      if (at <= end) continue;
+      let any = false;
+      for (const p of on.values()) {
+        if (this.isEnding(p.job.spec.id, p.task)) continue;
+        this.gone(p.job, p.task);
+        any = true;
+      }
+      if (any) out.push(id);
+    }
+    for (const m of this.machines.values()) {
+      if (m.reported && at > this.leaseEnd(m)) {
+        m.confirmed = false;
+        m.seen.clear();
+      }
+    }
+    return out;
+  }
+
+  /** The cloud has answered the delete: the machine and everything on it are gone. */
+  removed(id: string): void {
+    for (const p of this.cache.byMachine.get(id)?.values() ?? []) {
+      if (!this.isEnding(p.job.spec.id, p.task)) this.gone(p.job, p.task);
+    }
+    this.machines.delete(id);
+    this.deleted.add(id);
+    this.dirty = true;
+  }
+
+  listing(list: readonly ListedMachine[], at: Micros): void {
+    for (const l of list) {
+      if (this.deleted.has(l.id)) continue;
+      const fresh = !this.machines.has(l.id);
+      const m = this.machine(l.id, at, l);
+      if (fresh) m.since = Math.max(0, at - l.age) as Micros;
+      m.type = l.type;
+      m.zone = l.zone;
+      m.spot = l.spot;
+      m.addr = l.addr;
+      m.listed = l.status;
+    }
+  }
+
+  /** Asks a task to stop, saving within `grace` if it can. Goes out directly and with the next answers. */
+  stop(job: Job, task: number, grace: Micros, at: Micros): void {
+    const p = job.placed.get(task);
+    if (!p) return;
+    const key = taskKey(job.spec.id, task);
+    const old = this.stopping.get(key);
+    if (old && old.attempt === p.attempt && old.grace <= grace) return;
+    this.stopping.set(key, { attempt: p.attempt, grace, at });
+    this.tell(p.machine, key, p.attempt, grace);
+  }
+
+  private tell(machine: string, key: string, attempt: number, grace: Micros): void {
+    const m = this.machines.get(machine);
+    if (m?.reported) this.urgent.push({ machine: m, order: { op: 'stop', key, attempt, grace } });
+  }
+
+  /** Stops that jobs' own states call for, sent directly: withdrawn jobs and what is left of broken gangs. */
+  clearAway(job: Job): void {
+    for (const p of job.placed.values()) {
+      const key = taskKey(job.spec.id, p.task);
+      if (this.isEnding(job.spec.id, p.task)) continue;
+      const m = this.machines.get(p.machine);
+      const t = m?.tasks.get(key);
+      if (t && t.status !== 'exited') this.tell(p.machine, key, p.attempt, ZERO);
+    }
+  }
+
+  isBroken(job: Job): boolean {
+    return this.broken(job);
+  }
+
+  /** Drops what a committed record has made durable. */
+  settled(jobId: string, done: readonly number[], gone: readonly number[]): void {
+    const e = this.ends.get(jobId);
+    if (!e) return;
+    for (const t of done) e.done.delete(t);
+    for (const t of gone) e.gone.delete(t);
+    for (const t of [...done, ...gone]) {
+      const key = taskKey(jobId, t);
+      this.running.delete(key);
+      this.stopping.delete(key);
+    }
+    if (e.done.size === 0 && e.gone.size === 0) this.ends.delete(jobId);
+  }
+
+  /** Saves what can be saved on machines about to be taken, as late as is safe. */
+  recalls(at: Micros): void {
+    for (const m of this.machines.values()) {
+      if (m.recallAt === null) continue;
+      const left = m.recallAt - at;
+      for (const p of this.cache.byMachine.get(m.id)?.values() ?? []) {
+        const s = p.job.spec;
+        const run = this.running.get(taskKey(s.id, p.task));
+        if (s.checkpoint > 0) {
+          if (left > s.save * 1.2 + 3e6) continue;
+          const members = s.shape === 'gang' ? [...p.job.placed.keys()] : [p.task];
+          for (const task of members) this.stop(p.job, task, plus(s.save, 1e6), at);
+        } else if (run && s.estimate - (at - run.since) > left * 1.5) {
+          // It can't finish there and saves nothing: better begun again elsewhere at once.
+          this.stop(p.job, p.task, ZERO, at);
+        }
+      }
+    }
+  }
+
+  /** May get new tasks now. */
+  open(m: Machine, at: Micros): boolean {
+    return (
+      m.confirmed &&
+      m.recallAt === null &&
+      m.closed === null &&
+      m.listed !== 'failed' &&
+      !m.strangers &&
+      at >= m.cooldownUntil &&
+      at - m.lastAnswered < this.settings.workers.report * 2.5 + 1e6
+    );
+  }
+}
--- /dev/null
+++ b/src/workers/duty.ts
@@ -0,0 +1,92 @@
+/** Answers reports while this node leads, and sends urgent stops directly. */
+import { Effect, Either } from 'effect';
+import { type Answer, type Incoming, json, retryLater } from '../base/http-server.js';
+import { HttpClient } from '../base/http-client.js';
+import type { Micros } from '../base/micros.js';
+import type { Leadership } from '../leadership/leadership.js';
+import type { Settings } from '../settings/settings.js';
+import type { Book } from './book.js';
+import { type Order, readReport, writeOrders } from './codec.js';
+
+export interface WorkerPort {
+  /** Sends commands to a worker's address; whatever comes of it, the next reports tell. */
+  orders(addr: string, body: string): Effect.Effect<void>;
+}
+
+export class Workers implements WorkerPort {
+  private readonly clients = new Map<string, HttpClient>();
+
+  orders(addr: string, body: string): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      let c = this.clients.get(addr);
+      if (!c) {
+        if (this.clients.size > 200) this.closeAll();
+        this.clients.set(addr, (c = new HttpClient(addr, 1)));
+      }
+      return c.request('POST', '/orders', body, 1500).pipe(Effect.ignore);
+    });
+  }
+
+  private closeAll(): void {
+    for (const c of this.clients.values()) c.close();
+    this.clients.clear();
+  }
+}
+
+/** What the leader's session offers to the report handler. */
+export interface Desk {
+  readonly book: Book;
+  /** Completes when the next turn has run, or soon after. */
+  readonly nextTurn: Effect.Effect<void>;
+}
+
+export const reportHandler =
+  (
+    settings: Settings,
+    leadership: Leadership,
+    desk: () => Desk | null,
+    clock: () => Micros,
+    onContact: () => void,
+  ) =>
+  (request: Incoming): Effect.Effect<Answer> =>
+    Effect.gen(function* () {
+      if (request.body === null) return json(400, { error: 'body too large' });
+      const read = readReport(request.body);
+      if (Either.isLeft(read)) return json(400, { error: read.left });
+      const r = read.right;
+      onContact();
+      leadership.depose(r.token);
+      const reign = leadership.acting();
+      const d = desk();
+      if (reign === null || d === null || d.book.term !== reign.term) {
+        const to = leadership.known();
+        return to !== null && to !== settings.label ? json(421, { answerTo: to }) : retryLater('not leading');
+      }
+      const m = d.book.report(r, clock());
+      if (m === null) return { status: 200, body: writeOrders(reign.term, []) };
+      // A turn that this report calls for is waited for, shortly: the freed room's new start then goes
+      // out at once instead of a report later.
+      if (d.book.dirty) yield* d.nextTurn;
+      const still = leadership.acting();
+      if (still === null || still.term !== reign.term) return retryLater('not leading');
+      const orders: Order[] = m.tick === r.tick && m.tenure === r.tenure ? d.book.orders(m) : [];
+      return { status: 200, body: writeOrders(reign.term, orders) };
+    });
+
+/** Sends what must not wait for a report. */
+export const sendUrgent = (book: Book, port: WorkerPort): Effect.Effect<void> =>
+  Effect.suspend(() => {
+    if (book.urgent.length === 0) return Effect.void;
+    const byMachine = new Map<string, { addr: string; tenure: number; orders: Order[] }>();
+    for (const { machine, order } of book.urgent) {
+      const e = byMachine.get(machine.id);
+      if (e) e.orders.push(order);
+      else byMachine.set(machine.id, { addr: machine.addr, tenure: machine.tenure, orders: [order] });
+    }
+    book.urgent = [];
+    return Effect.forEach(
+      byMachine.values(),
+      (e) => Effect.forkDaemon(port.orders(e.addr, writeOrders(book.term, e.orders, e.tenure))),
+      { discard: true },
+    );
+  });
