CPU tasks leave GPU machines what their free GPUs need beside them

Ruled out: renting (all GPU machines were up after 65 s). Low work without GPUs also no longer rents GPU machines. Conclusion: GPU machines serve GPU jobs now; CPU work has less room and needs a better order next.

--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -60,6 +60,8 @@
     if (job.spec.types !== null && !job.spec.types.includes(t.name)) continue;
     const n = Math.min(count, perMachine(t, need));
     if (n < 1) continue;
+    // GPU machines cost many times as much: not rented for low work that has no use for GPUs.
+    if (job.spec.gpus === 0 && t.gpus > 0 && job.spec.urgency === 0 && job.spec.types === null) continue;
     for (const zone of t.zones) {
       if (job.spec.zone !== null && job.spec.zone !== zone) continue;
       out.push({ offer: { type: t.name, zone, spot: false }, cost: t.price / n });
--- a/src/scheduler/cycle.ts
+++ b/src/scheduler/cycle.ts
@@ -215,6 +215,19 @@
     (!n.view.spot || job.spec.spot) &&
     !input.avoid(job.spec.id, n.view.id);
 
+  /**
+   * A task without GPUs leaves a GPU machine what its free GPUs need beside them, unless it is more urgent
+   * than every GPU job: room whose GPUs nobody can reach any more is lost to the jobs that need them.
+   */
+  const strands = (job: Job, n: NodeState, left: Room): boolean => {
+    if (job.spec.gpus > 0 || n.view.total[1] === 0) return false;
+    return input.companions.some(
+      (c) =>
+        c.urgency >= job.spec.urgency &&
+        (left[0] < left[1] * c.cpusPerGpu - 1e-6 || left[2] < left[1] * c.memPerGpu - 1e-6),
+    );
+  };
+
   /** Tightest fit, with what a task has no use for and a missing image weighing against a machine. */
   const score = (job: Job, n: NodeState, left: Room): number => {
     const t = n.view.total;
@@ -274,8 +287,10 @@
         if ((byZone.get(n.view.zone) ?? 0) >= zoneCap) continue;
         const mine = used.get(n) ?? NONE;
         const left: Room = [n.free[0] - mine[0], n.free[1] - mine[1], n.free[2] - mine[2]];
+        const after: Room = [left[0] - need[0], left[1] - need[1], left[2] - need[2]];
+        if (strands(job, n, after)) continue;
         if (fits(need, left)) {
-          const s = score(job, n, [left[0] - need[0], left[1] - need[1], left[2] - need[2]]);
+          const s = score(job, n, after);
           if (best === null || s < best.score) best = { n, score: s, victims: [], free: true };
           continue;
         }
--- a/src/scheduler/duty.ts
+++ b/src/scheduler/duty.ts
@@ -18,7 +18,7 @@
 import type { Book } from '../workers/book.js';
 import type { MachineType } from '../fleet/model.js';
 import { schedule } from './cycle.js';
-import type { CycleResult, Holder, NodeView, QueuedJob, Start } from './model.js';
+import type { Companion, CycleResult, Holder, NodeView, QueuedJob, Start } from './model.js';
 import { rankOf } from './rank.js';
 
 /** Records to keep before their jobs are folded. */
@@ -34,6 +34,8 @@
   readonly acting: () => boolean;
   readonly types: () => readonly MachineType[];
   readonly clock: () => Micros;
+  /** What GPU jobs take beside each GPU, by class, as last seen. */
+  readonly companions: Map<string, Companion & { readonly seen: Micros }>;
 }
 
 export const holdersOf = (t: Turn, at: Micros): Holder[] => {
@@ -98,6 +100,22 @@
   return out;
 };
 
+/** A class of GPU jobs counts for this long after its last job was there: the next one is likely to come. */
+const REMEMBERED = 300e6;
+
+const companionsOf = (t: Turn, at: Micros): Companion[] => {
+  for (const { spec } of t.cache.jobs.values()) {
+    if (spec.gpus === 0) continue;
+    t.companions.set(spec.jobClass, {
+      urgency: spec.urgency,
+      cpusPerGpu: spec.cpus / spec.gpus,
+      memPerGpu: spec.memGb / spec.gpus,
+      seen: at,
+    });
+  }
+  return [...t.companions.values()].filter((c) => at - c.seen < REMEMBERED);
+};
+
 /** Ends and starts of one record, within the limits of one transaction. */
 interface Draft {
   readonly jobs: Map<string, JobChange>;
@@ -289,6 +307,7 @@
       nodes: nodesOf(t, at),
       holders: holdersOf(t, at),
       queued,
+      companions: companionsOf(t, at),
       avoid: (job, machine) => t.book.avoid(job, machine),
     });
     view.result = result;
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -47,10 +47,18 @@
   readonly holders: readonly Holder[];
   /** Jobs with tasks to start, and how many may be started at once. */
   readonly queued: readonly QueuedJob[];
+  /** What the GPU jobs of the day take beside each GPU, by urgency. */
+  readonly companions: readonly Companion[];
   /** Machines a job should avoid, because it failed there. */
   readonly avoid: (jobId: string, machine: string) => boolean;
 }
 
+export interface Companion {
+  readonly urgency: number;
+  readonly cpusPerGpu: number;
+  readonly memPerGpu: number;
+}
+
 export interface QueuedJob {
   readonly job: Job;
   readonly tasks: readonly number[];
