--- a/src/node.ts
+++ b/src/node.ts
@@ -104,6 +104,7 @@
         acting: () => leadership.acting()?.term === reign.term,
         types: () => knownTypes() ?? [],
         clock,
+        dayTime: ports.dayTime,
         companions: new Map(),
       };
       const view: CycleView = { result: null, at: reign.began };
--- a/src/scheduler/duty.ts
+++ b/src/scheduler/duty.ts
@@ -34,6 +34,8 @@
   readonly acting: () => boolean;
   readonly types: () => readonly MachineType[];
   readonly clock: () => Micros;
+  /** Time of day: deadlines count from a time of day. */
+  readonly dayTime: () => Micros;
   /** What GPU jobs take beside each GPU, by class, as last seen. */
   readonly companions: Map<string, Companion & { readonly seen: Micros }>;
 }
@@ -78,15 +80,28 @@
   return out;
 };
 
+/** The multiples of their deadline by which jobs of a class are wanted, smallest first. */
+const multiplesOf = (t: Turn, jobClass: string): readonly number[] => {
+  const named = t.settings.objectives
+    .filter((o) => o.kind === 'deadline' && o.jobClass === jobClass)
+    .map((o) => o.times);
+  return named.length === 0 ? [1] : named.sort((a, b) => a - b);
+};
+
 const queuedOf = (t: Turn, at: Micros): QueuedJob[] => {
   const out: QueuedJob[] = [];
+  const day = t.dayTime();
   // What one job's key must be able to hold.
   const most = Math.max(50, Math.floor((t.settings.state.valueBytes * 0.5) / 12));
   for (const job of t.cache.jobs.values()) {
     if (job.withdrawn || at < t.book.heldUntil(job.spec.id)) continue;
     if (job.spec.shape === 'gang') {
       if (job.placed.size > 0 || isComplete(job)) continue;
-      out.push({ job, tasks: Array.from({ length: job.spec.tasks }, (_, i) => i), rank: rankOf(job) });
+      out.push({
+        job,
+        tasks: Array.from({ length: job.spec.tasks }, (_, i) => i),
+        rank: rankOf(job, day, multiplesOf(t, job.spec.jobClass)),
+      });
       continue;
     }
     if (job.done.size + job.placed.size >= job.spec.tasks) continue;
@@ -95,7 +110,7 @@
     for (let i = 0; i < job.spec.tasks && tasks.length < room; i++) {
       if (!job.done.has(i) && !job.placed.has(i)) tasks.push(i);
     }
-    out.push({ job, tasks, rank: rankOf(job) });
+    out.push({ job, tasks, rank: rankOf(job, day, multiplesOf(t, job.spec.jobClass)) });
   }
   return out;
 };
--- a/src/scheduler/rank.ts
+++ b/src/scheduler/rank.ts
@@ -1,4 +1,21 @@
-/** The order within a team's queue, among jobs of the same urgency: smaller goes first. */
+/**
+ * The order within a team's queue, among jobs of the same urgency: smaller goes first.
+ *
+ * By deadline. A job that has missed its deadline is no longer worth another's: it queues behind, by the next
+ * multiple of the deadline that the users named; past all of them, in the order of submission. Only what is
+ * already missed counts: estimates are off by half, and jobs in progress would fall behind for nothing.
+ */
+import type { Micros } from '../base/micros.js';
 import type { Job } from '../jobs/model.js';
 
-export const rankOf = (job: Job): number => job.spec.submitted + (job.spec.deadline ?? 0);
+const BEHIND = 1e16;
+
+export const rankOf = (job: Job, day: Micros, multiples: readonly number[]): number => {
+  const { deadline, submitted } = job.spec;
+  if (deadline === null) return submitted;
+  for (let i = 0; i < multiples.length; i++) {
+    const due = submitted + deadline * multiples[i]!;
+    if (day <= due) return i * BEHIND + due;
+  }
+  return multiples.length * BEHIND + submitted;
+};
--- /dev/null
+++ b/test/program.test.ts
@@ -0,0 +1,122 @@
+/** Settings, the built program's command line, and the small codecs. */
+import assert from 'node:assert/strict';
+import { spawn, spawnSync } from 'node:child_process';
+import { readFileSync, writeFileSync, mkdtempSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { test } from 'node:test';
+import { Either } from 'effect';
+import fc from 'fast-check';
+import { decodeRanges, encodeRanges } from '../src/base/ranges.js';
+import { decodeJob, decodeRecord, encodeJob, encodeRecord } from '../src/jobs/codec.js';
+import { parseSettings } from '../src/settings/settings.js';
+
+const FIXTURE = 'test/fixtures/node.toml';
+const text = readFileSync(FIXTURE, 'utf8');
+
+test('settings: unknown fields are ignored, times become microseconds, faults name the field', () => {
+  const ok = Either.getOrThrow(parseSettings(text));
+  assert.equal(ok.workers.lease, 12_000_000);
+  assert.equal(ok.state.valueBytes, 16_384);
+  const cases: [string, string, RegExp][] = [
+    ['label = "node-0"\n', '', /^label: .*missing/],
+    ['lease_s = 12.0', 'lease_s = "long"', /^cluster\.workers\.lease_s: /],
+    ['listen = "127.0.0.1:0"', 'listen = "here"', /^listen: must be IPv4:port/],
+    ['txn_ops = 20', 'txn_ops = 0', /^cluster\.state\.txn_ops: /],
+    ['[cluster]', '[cluster', /^not TOML: /],
+  ];
+  for (const [from, to, want] of cases) {
+    const bad = parseSettings(text.replace(from, to));
+    assert.ok(Either.isLeft(bad), to);
+    assert.match(bad.left, want);
+  }
+});
+
+test('the built program: help, version, check, one line and a status for bad settings', () => {
+  const run = (...args: string[]) => spawnSync('node', ['target/main.cjs', ...args], { encoding: 'utf8' });
+  assert.match(run('--help').stdout, /--config <file>/);
+  assert.equal(
+    run('--version').stdout.trim(),
+    (JSON.parse(readFileSync('package.json', 'utf8')) as { version: string }).version,
+  );
+  assert.equal(run('--check', '--config', FIXTURE).status, 0);
+  const bad = join(mkdtempSync(join(tmpdir(), 'lilacvalve-')), 'bad.toml');
+  writeFileSync(bad, text.replace('rps = 100.0', ''));
+  const r = run('--config', bad);
+  assert.equal(r.status, 2);
+  assert.match(r.stderr, /^settings: cluster\.state\.rps: .*\n$/);
+});
+
+test('the built program starts, listens and stops in order', async () => {
+  const child = spawn('node', ['target/main.cjs', '--config', FIXTURE], {
+    env: { ...process.env, LOG_LEVEL: 'info' },
+  });
+  let err = '';
+  await new Promise<void>((done, fail) => {
+    child.stderr.on('data', (d: Buffer) => {
+      err += d.toString();
+      if (err.includes('listening')) done();
+    });
+    child.on('exit', () => fail(new Error(`ended: ${err}`)));
+  });
+  child.removeAllListeners('exit');
+  const code = await new Promise<number | null>((done) => {
+    child.on('exit', done);
+    child.kill('SIGTERM');
+  });
+  assert.notEqual(code, null);
+  assert.match(err, /info listening node=node-0/);
+});
+
+test('ranges and durable forms come back as they went', () => {
+  fc.assert(
+    fc.property(fc.uniqueArray(fc.nat(500)), (a) => {
+      assert.deepEqual(
+        decodeRanges(encodeRanges(a)),
+        [...a].sort((x, y) => x - y),
+      );
+    }),
+    { seed: 3 },
+  );
+  const spec = {
+    id: 'job-1',
+    jobClass: 'c',
+    team: 't',
+    shape: 'array' as const,
+    urgency: 1 as const,
+    tasks: 9,
+    cpus: 1.5,
+    gpus: 0,
+    memGb: 2,
+    image: 'i',
+    imageGb: 1,
+    types: ['x'],
+    zone: null,
+    oneZone: false,
+    spread: true,
+    spot: true,
+    estimate: 5 as never,
+    checkpoint: 6 as never,
+    save: 7 as never,
+    deadline: null,
+    submitted: 8 as never,
+  };
+  const job = {
+    spec,
+    withdrawn: true,
+    attempt: 4,
+    done: new Set([0, 1]),
+    placed: new Map([
+      [2, { task: 2, attempt: 3, machine: 'm' }],
+      [5, { task: 5, attempt: 4, machine: 'n' }],
+    ]),
+    stamp: 11,
+    folded: 6,
+    touched: 6,
+  };
+  assert.deepEqual(decodeJob('job-1', JSON.parse(JSON.stringify(encodeJob(job, 6))), 11), job);
+  const jobs = new Map([
+    ['job-1', { done: [1, 2], gone: [5], start: { attempt: 7, on: new Map([['m', [3, 4]]]) } }],
+  ]);
+  assert.deepEqual(decodeRecord(9, JSON.parse(JSON.stringify(encodeRecord(jobs)))), { seq: 9, jobs });
+});
--- /dev/null
+++ b/test/scheduler.test.ts
@@ -0,0 +1,310 @@
+/** Properties of the pure cycle, over random states. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import type { Micros } from '../src/base/micros.js';
+import type { Job, JobSpec, Urgency } from '../src/jobs/model.js';
+import { schedule } from '../src/scheduler/cycle.js';
+import type { CycleInput, CycleResult, Holder, NodeView, QueuedJob } from '../src/scheduler/model.js';
+import { rankOf } from '../src/scheduler/rank.js';
+
+const ZERO = 0 as Micros;
+export const job = (id: string, over: Partial<JobSpec> = {}): Job => ({
+  spec: {
+    id,
+    jobClass: 'x',
+    team: 'red',
+    shape: 'array',
+    urgency: 0,
+    tasks: 1,
+    cpus: 1,
+    gpus: 0,
+    memGb: 1,
+    image: 'i',
+    imageGb: 1,
+    types: null,
+    zone: null,
+    oneZone: false,
+    spread: false,
+    spot: true,
+    estimate: ZERO,
+    checkpoint: ZERO,
+    save: ZERO,
+    deadline: null,
+    submitted: ZERO,
+    ...over,
+  },
+  withdrawn: false,
+  attempt: 0,
+  done: new Set(),
+  placed: new Map(),
+  stamp: 1,
+  folded: 0,
+  touched: 0,
+});
+const node = (id: string, over: Partial<NodeView> = {}): NodeView => ({
+  id,
+  type: 'c8',
+  zone: 'a',
+  spot: false,
+  total: [8, 0, 32],
+  images: new Set(),
+  open: true,
+  ...over,
+});
+const input = (over: Partial<CycleInput>): CycleInput => ({
+  now: ZERO,
+  teams: [],
+  weights: new Map(),
+  nodes: [],
+  holders: [],
+  queued: [],
+  companions: [],
+  avoid: () => false,
+  ...over,
+});
+const queued = (j: Job, rank = 0): QueuedJob => ({
+  job: j,
+  rank,
+  tasks: Array.from({ length: j.spec.tasks }, (_, i) => i),
+});
+const held = (j: Job, machine: string, task = 0, leaving = false): Holder => ({
+  job: j,
+  task,
+  machine,
+  leaving,
+  loss: ZERO,
+});
+const count = (r: CycleResult, id: string): number =>
+  r.starts.filter((s) => s.job.spec.id === id).reduce((n, s) => n + [...s.on.values()].flat().length, 0);
+
+const arbJob = (i: number) =>
+  fc
+    .record({
+      team: fc.constantFrom('red', 'blue', 'green'),
+      shape: fc.constantFrom('array' as const, 'gang' as const, 'service' as const),
+      urgency: fc.constantFrom<Urgency>(0, 1, 2, 3),
+      tasks: fc.integer({ min: 1, max: 5 }),
+      cpus: fc.integer({ min: 1, max: 6 }),
+      gpus: fc.constantFrom(0, 0, 1, 2),
+      oneZone: fc.boolean(),
+      spread: fc.boolean(),
+      spot: fc.boolean(),
+      zone: fc.constantFrom(null, null, 'a', 'b'),
+      types: fc.constantFrom(null, null, ['c8'], ['g4']),
+    })
+    .map((o) => job(`job-${i}`, { ...o, spread: o.spread && !o.oneZone && o.zone === null }));
+const arbState = fc.record({
+  jobs: fc.tuple(...Array.from({ length: 14 }, (_, i) => arbJob(i))),
+  nodes: fc.array(
+    fc.record({ zone: fc.constantFrom('a', 'b'), gpu: fc.boolean(), spot: fc.boolean(), open: fc.boolean() }),
+    { minLength: 1, maxLength: 6 },
+  ),
+  runs: fc.integer({ min: 0, max: 10 }),
+});
+const teams = [
+  { name: 'red', guarantee: { cpus: 6, gpus: 1 }, limit: { cpus: 14, gpus: 3 } },
+  { name: 'blue', guarantee: { cpus: 0, gpus: 0 }, limit: { cpus: 0, gpus: 0 } },
+  { name: 'green', guarantee: { cpus: 2, gpus: 0 }, limit: { cpus: 0, gpus: 2 } },
+];
+
+/** Brings a state about by a first cycle over some of the jobs, so that what is held is consistent. */
+const stateOf = (s: typeof arbState extends fc.Arbitrary<infer T> ? T : never): CycleInput => {
+  const nodes = s.nodes.map((n, i) =>
+    node(`vm-${i}`, {
+      zone: n.zone,
+      spot: n.spot,
+      type: n.gpu ? 'g4' : 'c8',
+      total: n.gpu ? [8, 4, 32] : [8, 0, 32],
+    }),
+  );
+  const first = schedule(
+    input({ teams, nodes, queued: s.jobs.slice(0, s.runs).map((j, i) => queued(j, i)) }),
+  );
+  const holders: Holder[] = [];
+  for (const st of first.starts) {
+    for (const [m, tasks] of st.on) {
+      for (const t of tasks) {
+        holders.push(held(st.job, m, t));
+        st.job.placed.set(t, { task: t, attempt: 1, machine: m });
+      }
+    }
+  }
+  const left = s.jobs
+    .filter((j) => (j.spec.shape === 'gang' ? j.placed.size === 0 : j.placed.size < j.spec.tasks))
+    .map((j, i) => ({ ...queued(j, i), tasks: queued(j).tasks.filter((t) => !j.placed.has(t)) }));
+  return input({
+    teams,
+    nodes: nodes.map((n, i) => ({ ...n, open: s.nodes[i]!.open })),
+    holders,
+    queued: left,
+  });
+};
+
+test('random cycles keep rooms, limits, places and gangs whole, and displace only for somebody', () => {
+  fc.assert(
+    fc.property(arbState, (s) => {
+      const i = stateOf(s);
+      const r = schedule(i);
+      const byId = new Map(i.nodes.map((n) => [n.id, n]));
+      const used = new Map<string, [number, number, number]>();
+      const team = new Map<string, [number, number]>();
+      const zones = new Map<Job, Map<string, number>>();
+      const put = (j: Job, machine: string): void => {
+        const u = used.get(machine) ?? [0, 0, 0];
+        used.set(machine, [u[0] + j.spec.cpus, u[1] + j.spec.gpus, u[2] + j.spec.memGb]);
+        const t = team.get(j.spec.team) ?? [0, 0];
+        team.set(j.spec.team, [t[0] + j.spec.cpus, t[1] + j.spec.gpus]);
+        const z = zones.get(j) ?? new Map<string, number>();
+        const zone = byId.get(machine)!.zone;
+        zones.set(j, z.set(zone, (z.get(zone) ?? 0) + 1));
+      };
+      // What was held stays counted until it is gone, stopped or not.
+      for (const h of i.holders) put(h.job, h.machine);
+      for (const st of r.starts) {
+        const tasks = [...st.on.values()].flat();
+        assert.equal(new Set(tasks).size, tasks.length, 'a task started twice');
+        if (st.job.spec.shape === 'gang') assert.equal(tasks.length, st.job.spec.tasks, 'a gang in part');
+        for (const [m, on] of st.on) {
+          const n = byId.get(m)!;
+          assert.ok(n.open);
+          assert.ok(st.job.spec.types === null || st.job.spec.types.includes(n.type));
+          assert.ok(st.job.spec.zone === null || st.job.spec.zone === n.zone);
+          assert.ok(!n.spot || st.job.spec.spot);
+          on.forEach(() => put(st.job, m));
+        }
+        const z = zones.get(st.job)!;
+        if (st.job.spec.oneZone) assert.equal(z.size, 1, 'one zone');
+        if (st.job.spec.spread)
+          for (const c of z.values()) assert.ok(c <= Math.ceil(st.job.spec.tasks / 2), 'spread');
+      }
+      for (const [m, u] of used)
+        u.forEach((x, k) => assert.ok(x <= byId.get(m)!.total[k]! + 1e-6, 'over capacity'));
+      for (const t of teams) {
+        const u = team.get(t.name) ?? [0, 0];
+        if (t.limit.cpus > 0) assert.ok(u[0] <= t.limit.cpus, `limit of ${t.name}`);
+        if (t.limit.gpus > 0) assert.ok(u[1] <= t.limit.gpus, `limit of ${t.name}`);
+      }
+      if (i.queued.length === 0) assert.equal(r.stops.length, 0, 'stops for nobody');
+      const waits = r.unplaced.reduce((n, u) => n + u.count, 0);
+      const all = i.queued.reduce((n, q) => n + q.tasks.length, 0);
+      const started = r.starts.reduce((n, st) => n + [...st.on.values()].flat().length, 0);
+      if (waits + started === all) assert.equal(r.stops.length, 0, 'stops though nobody waits for the room');
+      for (const stop of r.stops) {
+        if (stop.job.spec.shape === 'gang') {
+          assert.equal(
+            r.stops.filter((x) => x.job === stop.job).length,
+            stop.job.placed.size,
+            'a gang stopped in part',
+          );
+        }
+      }
+    }),
+    { seed: 7, numRuns: 400 },
+  );
+});
+
+test('the same state gives the same cycle', () => {
+  fc.assert(
+    fc.property(arbState, (s) => {
+      const i = stateOf(s);
+      assert.deepEqual(schedule(i), schedule(i));
+    }),
+    { seed: 8, numRuns: 50 },
+  );
+});
+
+test('the team whose weighted dominant share would be smallest goes next', () => {
+  const a = job('job-1', { team: 'red', tasks: 8 });
+  const b = job('job-2', { team: 'blue', tasks: 8 });
+  const even = schedule(input({ nodes: [node('m')], queued: [queued(a), queued(b)] }));
+  assert.deepEqual([count(even, 'job-1'), count(even, 'job-2')], [4, 4]);
+  const weighted = schedule(
+    input({ nodes: [node('m')], queued: [queued(a), queued(b)], weights: new Map([['red', 3]]) }),
+  );
+  assert.deepEqual([count(weighted, 'job-1'), count(weighted, 'job-2')], [6, 2]);
+  const behind = schedule(
+    input({
+      nodes: [node('m')],
+      holders: [held(job('job-3', { team: 'red', cpus: 4 }), 'm')],
+      queued: [queued(a), queued(b)],
+    }),
+  );
+  assert.deepEqual([count(behind, 'job-1'), count(behind, 'job-2')], [0, 4]);
+});
+
+test('more urgent work displaces less urgent, never its own class, and the least urgent first', () => {
+  const low = job('job-1', { cpus: 8, urgency: 0 });
+  const normal = job('job-2', { cpus: 8, urgency: 1 });
+  const nodes = [node('m0'), node('m1')];
+  const holders = [held(low, 'm0'), held(normal, 'm1')];
+  const high = schedule(
+    input({ nodes, holders, queued: [queued(job('job-3', { cpus: 8, urgency: 2, team: 'blue' }))] }),
+  );
+  assert.deepEqual(
+    high.stops.map((s) => s.job.spec.id),
+    ['job-1'],
+  );
+  assert.equal(high.starts.length, 0, 'room that is still held is not given out');
+  const same = schedule(
+    input({ nodes, holders, queued: [queued(job('job-3', { cpus: 8, urgency: 0, team: 'blue' }))] }),
+  );
+  assert.equal(same.stops.length, 0);
+  assert.deepEqual(
+    same.unplaced.map((u) => u.job.spec.id),
+    ['job-3'],
+  );
+});
+
+test('a gang waits for room that is leaving instead of stopping more', () => {
+  const nodes = [node('m0'), node('m1')];
+  const holders = [held(job('job-1', { cpus: 8 }), 'm0', 0, true), held(job('job-2', { cpus: 8 }), 'm1')];
+  const r = schedule(input({ nodes, holders, queued: [queued(job('job-3', { cpus: 8, urgency: 3 }))] }));
+  assert.equal(r.stops.length, 0);
+  assert.equal(r.starts.length, 0);
+});
+
+test('a team gets its guarantee back from whoever runs beyond theirs', () => {
+  const borrowed = [0, 1].map((i) => held(job(`job-${i}`, { cpus: 4, team: 'blue', urgency: 2 }), 'm'));
+  const r = schedule(
+    input({
+      teams,
+      nodes: [node('m')],
+      holders: borrowed,
+      queued: [queued(job('job-9', { cpus: 4, team: 'red', urgency: 0 }))],
+    }),
+  );
+  assert.equal(r.stops.length, 1);
+});
+
+// CPU tasks once filled the GPU machines while GPU jobs waited and could not displace their own class.
+test('a task without GPUs leaves free GPUs what they need beside them', () => {
+  const companions = [{ urgency: 0, cpusPerGpu: 3, memPerGpu: 1 }];
+  const nodes = [node('m', { type: 'g4', total: [8, 2, 32] })];
+  const r = schedule(input({ nodes, companions, queued: [queued(job('job-1', { tasks: 8 }))] }));
+  assert.equal(count(r, 'job-1'), 2);
+  const urgent = schedule(
+    input({ nodes, companions, queued: [queued(job('job-1', { tasks: 8, urgency: 1 }))] }),
+  );
+  assert.equal(count(urgent, 'job-1'), 8);
+});
+
+test('several hundred tasks of one array cost little', () => {
+  const nodes = Array.from({ length: 48 }, (_, i) => node(`m${i}`));
+  const r = schedule(input({ nodes, queued: [queued(job('job-1', { tasks: 400 }))] }));
+  assert.equal(count(r, 'job-1'), 384);
+  assert.deepEqual(
+    r.unplaced.map((u) => u.count),
+    [16],
+  );
+});
+
+// Past its deadline a job once kept its place, and one late job made the next one late.
+test('what is past its deadline queues behind what is not', () => {
+  const s = (n: number): Micros => (n * 1e6) as Micros;
+  const late = job('job-1', { submitted: s(0), deadline: s(100) });
+  const timely = job('job-2', { submitted: s(90), deadline: s(100) });
+  assert.ok(rankOf(late, s(50), [1]) < rankOf(timely, s(50), [1]));
+  assert.ok(rankOf(late, s(101), [1]) > rankOf(timely, s(101), [1]));
+  assert.ok(rankOf(late, s(101), [1, 1.75]) < rankOf(late, s(176), [1, 1.75]));
+});
--- a/test/world/time.ts
+++ b/test/world/time.ts
@@ -78,16 +78,21 @@
     }
   }
 
+  /** Runs fibers until all of them wait. */
+  private settle(): void {
+    while (this.scheduler.tasks.buckets.length > 0) this.scheduler.step();
+  }
+
   /** Runs until `end`, one event after another, each with all that follows from it at once. */
   run(end: number): void {
-    this.scheduler.step();
+    this.settle();
     for (;;) {
       const e = this.heap[0];
       if (!e || e.at > end) break;
       this.pop();
       this.now = e.at;
       e.go();
-      this.scheduler.step();
+      this.settle();
       this.onStep();
     }
     this.now = end;
