A leader without the state service holds on under a majority's word

Exception as in docs/design.md: the leader answers reports with what is durable while a majority confirms no higher term and no service, bounded by cancel_s; a new leader deems older leases lapsed only after enough nodes know its term.

--- a/src/fleet/duty.ts
+++ b/src/fleet/duty.ts
@@ -150,6 +150,7 @@
   return duty(
     'fleet',
     Effect.gen(function* () {
+      if (!t.acting()) return;
       if (t.clock() - lastList >= listEvery) yield* list;
       yield* clean;
       yield* rent;
--- a/src/jobs/feed.ts
+++ b/src/jobs/feed.ts
@@ -18,6 +18,8 @@
 
 export class Feed {
   loaded = false;
+  /** The cache is known to be at least as new as this moment. */
+  readAsOf = Number.NEGATIVE_INFINITY as Micros;
   private batch: Deferred.Deferred<void, StateFailure> | null = null;
   private lastRead = Number.NEGATIVE_INFINITY;
 
@@ -51,6 +53,19 @@
   });
 
   private read(blockMs: number): Effect.Effect<void, StateFailure> {
+    return Effect.suspend(() => {
+      const asked = this.clock();
+      return this.readOnce(blockMs).pipe(
+        Effect.zipRight(
+          Effect.sync(() => {
+            if (asked > this.readAsOf) this.readAsOf = asked;
+          }),
+        ),
+      );
+    });
+  }
+
+  private readOnce(blockMs: number): Effect.Effect<void, StateFailure> {
     return Effect.suspend(() => {
       if (!this.loaded) return this.reload;
       return this.store.follow(ROOT, this.cache.revision, blockMs).pipe(
--- a/src/leadership/leadership.ts
+++ b/src/leadership/leadership.ts
@@ -10,11 +10,15 @@
 import type { JobCache } from '../jobs/cache.js';
 import type { Feed } from '../jobs/feed.js';
 import { LEADER, TERM } from '../jobs/keys.js';
+import type { Peers } from './peers.js';
 import type { Settings } from '../settings/settings.js';
 import { Priority } from '../state-store/budget.js';
 import type { StatePort } from '../state-store/port.js';
 
 const MARGIN = millis(150);
+/** How long a reign waits for its lease to be extended again after its right ran out. */
+const LINGER = seconds(8);
+const HOLD_MARGIN = millis(1500);
 
 export interface Reign {
   readonly term: number;
@@ -30,12 +34,14 @@
   /** After giving way: not before this time, and not before somebody reached this node. */
   private shunUntil = Number.NEGATIVE_INFINITY;
   private readonly ttl: Micros;
+  private holds = false;
 
   constructor(
     private readonly settings: Settings,
     private readonly store: StatePort,
     private readonly feed: Feed,
     private readonly cache: JobCache,
+    private readonly peers: Pick<Peers, 'confirmedUntil' | 'highestTerm'>,
     private readonly clock: () => Micros,
   ) {
     this.ttl = Math.min(seconds(4), Math.max(seconds(2.5), settings.workers.lease / 5)) as Micros;
@@ -46,6 +52,29 @@
     return this.reign !== null && this.clock() < this.rightUntil ? this.reign : null;
   }
 
+  /**
+   * The reign this node may answer reports for: its own right, or a hold while the state service is out.
+   * A hold places nothing; it only repeats what is durable, so that workers keep their leases.
+   */
+  answering(): Reign | null {
+    const { reign } = this;
+    if (reign === null) return null;
+    const at = this.clock();
+    if (at < this.rightUntil) return reign;
+    return at < this.holdEnds() && at < this.peers.confirmedUntil(reign.term) ? reign : null;
+  }
+
+  /** The reign is not over, though it may be without right for the moment. */
+  reigning(term: number): boolean {
+    return this.reign?.term === term;
+  }
+
+  /** A cancellation accepted elsewhere after our last read must still take effect in time. */
+  private holdEnds(): Micros {
+    const w = this.settings.workers;
+    return plus(this.feed.readAsOf, w.cancel - w.lease * (1 + 2 * DRIFT) - HOLD_MARGIN);
+  }
+
   /** The node to send workers to, as far as is known. */
   known(): string | null {
     return this.cache.leader?.node ?? null;
@@ -117,7 +146,7 @@
     const asked = this.clock();
     const left = this.rightUntil - asked;
     const kept = yield* this.store
-      .extend(lease, Math.max(200, Math.min(900, toMillis(left))))
+      .extend(lease, left <= 0 ? 900 : Math.max(200, Math.min(900, toMillis(left))))
       .pipe(Effect.orElseSucceed(() => null));
     if (kept === true && this.lease === lease) this.rightUntil = plus(asked, this.ttl * (1 - DRIFT) - MARGIN);
     if (kept === false) this.end();
@@ -126,11 +155,14 @@
   readonly run = duty(
     'leadership',
     Effect.gen(this, function* () {
-      if (this.reign !== null && this.cache.term > this.reign.term) this.end();
+      const { reign } = this;
+      if (reign !== null && Math.max(this.cache.term, this.peers.highestTerm()) > reign.term) this.end();
       if (this.reign !== null && this.clock() >= this.rightUntil) {
-        yield* info('right ran out', { term: this.reign.term });
-        this.end();
-      }
+        if (!this.holds) yield* info('right ran out', { term: this.reign.term });
+        this.holds = true;
+        // The lease may still be ours once the service is back; without it, and past any hold, it is over.
+        if (this.clock() >= Math.max(this.holdEnds(), this.rightUntil + LINGER)) this.end();
+      } else this.holds = false;
       if (this.reign !== null) {
         yield* this.renew;
         yield* Effect.sleep(toMillis(this.ttl / 5));
--- a/src/leadership/peers.ts
+++ b/src/leadership/peers.ts
@@ -1,67 +1,115 @@
-/** What controllers tell each other, in msgpack: a beat with what each sees of the state service. */
+/**
+ * What controllers tell each other: a beat with the highest term the sender knows and whether the state
+ * service serves it. Two things rest on these beats (docs/design.md, "A leader without the state service"):
+ *
+ * - a leader's hold: a majority has said, of a moment less than `CONFIRM` ago, that it knows no higher term
+ *   and gets no service either;
+ * - a new leader's acknowledgement: enough nodes know its term that no hold of an older one can be renewed.
+ */
 import { Effect } from 'effect';
 import { pack, unpack } from 'msgpackr';
 import { duty } from '../base/duty.js';
-import { HttpClient } from '../base/http-client.js';
+import { HttpClient, type NoAnswer } from '../base/http-client.js';
 import { type Answer, type Incoming, json } from '../base/http-server.js';
-import type { Micros } from '../base/micros.js';
-import type { Settings } from '../settings/settings.js';
+import { type Micros, plus, seconds } from '../base/micros.js';
+import type { Peer, Settings } from '../settings/settings.js';
 
 export interface Beat {
   readonly from: string;
+  /** Highest term the sender knows of. */
   readonly term: number;
   /** The state service serves the sender. */
   readonly served: boolean;
+  /** The sender has read the term from the store since it started: only then does its word count. */
+  readonly loaded: boolean;
+}
+
+/** Carries a beat to a peer and its answering beat back. */
+export interface PeerPort {
+  exchange(peer: Peer, beat: Beat): Effect.Effect<Beat, NoAnswer>;
 }
 
 const EVERY_MS = 1000;
-const FRESH = 3_500_000;
+/** How long a confirmation counts, from when it was asked for. */
+export const CONFIRM = seconds(3);
+
+interface Heard {
+  readonly beat: Beat;
+  /** When the exchange that brought it began: what it says was true then or later. */
+  readonly asked: Micros;
+  readonly at: Micros;
+}
 
 export class Peers {
-  private readonly heard = new Map<string, { beat: Beat; at: Micros }>();
-  private readonly clients: readonly HttpClient[];
+  private readonly answers = new Map<string, Heard>();
+  private readonly known = new Set<string>();
+  private highest = 0;
 
   constructor(
-    settings: Settings,
-    private readonly mine: () => Beat,
+    private readonly settings: Settings,
+    private readonly port: PeerPort,
+    private readonly mine: () => Omit<Beat, 'from' | 'term'> & { readonly term: number },
     private readonly clock: () => Micros,
   ) {
-    this.clients = settings.peers.map((p) => new HttpClient(p.address, 2, 'application/msgpack'));
+    for (const p of settings.peers) this.known.add(p.label);
+  }
+
+  /** Once a higher term was heard of, a lower one is never confirmed again. */
+  private beat(): Beat {
+    const m = this.mine();
+    this.highest = Math.max(this.highest, m.term);
+    return { ...m, from: this.settings.label, term: this.highest };
+  }
+
+  /** A peer's beat came in; the answer. */
+  receive(beat: Beat): Beat {
+    this.highest = Math.max(this.highest, beat.term);
+    return this.beat();
   }
 
-  private hear(body: Buffer): void {
-    const beat = unpack(body) as Beat;
-    if (typeof beat?.from === 'string') this.heard.set(beat.from, { beat, at: this.clock() });
+  highestTerm(): number {
+    return this.highest;
   }
 
-  /** Some other controller is served by the state service. */
   otherServed(): boolean {
     const at = this.clock();
-    for (const h of this.heard.values()) if (h.beat.served && at - h.at < FRESH) return true;
+    for (const h of this.answers.values()) if (h.beat.served && at - h.at < 3.5e6) return true;
     return false;
   }
 
-  readonly handler = (request: Incoming): Effect.Effect<Answer> =>
-    Effect.sync(() => {
-      if (request.path !== '/beat' || request.body === null) return json(404, {});
-      this.hear(request.body);
-      return {
-        status: 200,
-        body: Buffer.from(pack(this.mine())),
-        headers: { 'Content-Type': 'application/msgpack' },
-      };
-    });
+  /** Until when a majority's word, this node's included, lets a leader of `term` hold on. */
+  confirmedUntil(term: number): Micros {
+    if (this.highest > term) return Number.NEGATIVE_INFINITY as Micros;
+    const asked = [...this.answers.values()]
+      .filter((h) => h.beat.loaded && !h.beat.served && h.beat.term <= term)
+      .map((h) => h.asked)
+      .sort((a, b) => b - a);
+    const others = Math.floor(this.settings.nodes / 2);
+    if (others === 0) return Number.POSITIVE_INFINITY as Micros;
+    const weakest = asked[others - 1];
+    return weakest === undefined ? (Number.NEGATIVE_INFINITY as Micros) : plus(weakest, CONFIRM);
+  }
+
+  /** So many nodes know `term`, this one included, that every majority has one of them. */
+  acknowledged(term: number): boolean {
+    let n = 1;
+    for (const h of this.answers.values()) if (h.beat.term >= term) n++;
+    return n >= Math.ceil(this.settings.nodes / 2);
+  }
 
   readonly run = duty(
     'peers',
     Effect.suspend(() => {
-      const body = Buffer.from(pack(this.mine()));
+      const asked = this.clock();
+      const beat = this.beat();
       return Effect.forEach(
-        this.clients,
-        (c) =>
-          c.request('POST', '/beat', body, 900).pipe(
-            Effect.map((r) => {
-              if (r.status === 200) this.hear(r.body);
+        this.settings.peers,
+        (peer) =>
+          this.port.exchange(peer, beat).pipe(
+            Effect.map((answer) => {
+              if (!this.known.has(answer.from)) return;
+              this.highest = Math.max(this.highest, answer.term);
+              this.answers.set(answer.from, { beat: answer, asked, at: this.clock() });
             }),
             Effect.ignore,
           ),
@@ -70,3 +118,30 @@
     }).pipe(Effect.zipRight(Effect.sleep(EVERY_MS)), Effect.forever),
   );
 }
+
+/** Beats as msgpack over HTTP. */
+export class HttpPeers implements PeerPort {
+  private readonly clients = new Map<string, HttpClient>();
+
+  exchange(peer: Peer, beat: Beat): Effect.Effect<Beat, NoAnswer> {
+    let c = this.clients.get(peer.label);
+    if (!c) this.clients.set(peer.label, (c = new HttpClient(peer.address, 2, 'application/msgpack')));
+    return c
+      .request('POST', '/beat', Buffer.from(pack(beat)), 900)
+      .pipe(Effect.map((r) => unpack(r.body) as Beat));
+  }
+}
+
+export const peerHandler =
+  (peers: () => Peers) =>
+  (request: Incoming): Effect.Effect<Answer> =>
+    Effect.sync(() => {
+      if (request.path !== '/beat' || request.body === null) return json(404, {});
+      const beat = unpack(request.body) as Beat;
+      if (typeof beat?.from !== 'string' || !Number.isSafeInteger(beat.term)) return json(400, {});
+      return {
+        status: 200,
+        body: Buffer.from(pack(peers().receive(beat))),
+        headers: { 'Content-Type': 'application/msgpack' },
+      };
+    });
--- a/src/main.ts
+++ b/src/main.ts
@@ -6,8 +6,8 @@
 import { error, info, logLayer } from './base/log.js';
 import { micros, now } from './base/micros.js';
 import { Cloud } from './fleet/cloud.js';
-import { Peers } from './leadership/peers.js';
-import { makeNode, type Node } from './node.js';
+import { HttpPeers, peerHandler } from './leadership/peers.js';
+import { makeNode } from './node.js';
 import { readSettings, type Settings } from './settings/settings.js';
 import { StateStore } from './state-store/client.js';
 import { Workers } from './workers/duty.js';
@@ -17,32 +17,24 @@
 const program = (settings: Settings) =>
   Effect.scoped(
     Effect.gen(function* () {
-      const store = new StateStore(settings);
-      const parts: { node?: Node } = {};
-      const peers = new Peers(
-        settings,
-        () => ({
-          from: settings.label,
-          term: parts.node?.term() ?? 0,
-          served: parts.node?.served() ?? false,
-        }),
-        now,
-      );
       const node = makeNode(settings, {
-        store,
+        store: new StateStore(settings),
         cloud: new Cloud(settings),
         workers: new Workers(),
-        otherServed: () => peers.otherServed(),
+        peers: new HttpPeers(),
         clock: now,
         dayTime: () => micros(Date.now() * 1000),
       });
-      parts.node = node;
       const max = settings.limits.maxConnections;
       yield* serve(parseAddress(settings.listen), Math.floor(max * 0.8), node.handle);
-      yield* serve(parseAddress(settings.peerListen), Math.max(8, Math.floor(max * 0.05)), peers.handler);
+      yield* serve(
+        parseAddress(settings.peerListen),
+        Math.max(8, Math.floor(max * 0.05)),
+        peerHandler(() => node.peers),
+      );
       yield* info('listening', { node: settings.label, listen: settings.listen, version });
       yield* Effect.addFinalizer(() => node.leadership.release);
-      yield* Effect.all([node.run, peers.run], { concurrency: 'unbounded' });
+      yield* node.run;
     }),
   );
 
--- a/src/node.ts
+++ b/src/node.ts
@@ -12,6 +12,7 @@
 import { Feed } from './jobs/feed.js';
 import { TERM, TYPES } from './jobs/keys.js';
 import { Leadership, type Reign } from './leadership/leadership.js';
+import { type PeerPort, Peers } from './leadership/peers.js';
 import { type CycleView, turn, type Turn } from './scheduler/duty.js';
 import type { Settings } from './settings/settings.js';
 import { Priority } from './state-store/budget.js';
@@ -23,7 +24,7 @@
   readonly store: StatePort;
   readonly cloud: CloudPort;
   readonly workers: WorkerPort;
-  readonly otherServed: () => boolean;
+  readonly peers: PeerPort;
   readonly clock: () => Micros;
   readonly dayTime: () => Micros;
 }
@@ -31,9 +32,8 @@
 export interface Node {
   readonly handle: (r: Incoming) => Effect.Effect<Answer>;
   readonly run: Effect.Effect<never>;
-  readonly served: () => boolean;
-  readonly term: () => number;
   readonly leadership: Leadership;
+  readonly peers: Peers;
   readonly desk: () => Desk | null;
 }
 
@@ -45,21 +45,35 @@
   const { store, clock } = ports;
   const cache = new JobCache();
   const feed = new Feed(cache, store, clock);
-  const leadership = new Leadership(settings, store, feed, cache, clock);
+  const peers = new Peers(
+    settings,
+    ports.peers,
+    () => ({ term: cache.term, served: served(), loaded: feed.loaded }),
+    clock,
+  );
+  const leadership = new Leadership(settings, store, feed, cache, peers, clock);
   let types: readonly MachineType[] | null = null;
   const knownTypes = (): readonly MachineType[] | null =>
     types ?? (cache.types as readonly MachineType[] | null);
 
   const served = (): boolean => {
     const at = clock();
-    if (at - store.lastServed > 5e6) return false;
-    return store.lastServed >= store.lastRefused || at - store.lastServed < 1.5e6;
+    if (at - store.lastServed > 2.5e6) return false;
+    return store.lastServed >= store.lastRefused || at - store.lastServed < 1e6;
   };
+  // Keeps `served` true to the moment, also when no user asks for anything.
+  const probe = duty(
+    'probe',
+    Effect.suspend(() => (clock() - store.lastServed > 1e6 ? Effect.ignore(feed.refresh) : Effect.void)).pipe(
+      Effect.zipRight(Effect.sleep(500)),
+      Effect.forever,
+    ),
+  );
   /** Why this node can't take requests; null: it can. With the state service out for all, leaving helps nobody. */
   const unready = (): string | null => {
     if (!feed.loaded) return 'starting';
     if (knownTypes() === null) return 'machine types unknown';
-    if (!served() && ports.otherServed()) return 'state service refuses this node';
+    if (!served() && peers.otherServed()) return 'state service refuses this node';
     return null;
   };
 
@@ -102,6 +116,8 @@
         book,
         reign,
         acting: () => leadership.acting()?.term === reign.term,
+        reigning: () => leadership.reigning(reign.term),
+        acknowledged: () => peers.acknowledged(reign.term),
         types: () => knownTypes() ?? [],
         clock,
         dayTime: ports.dayTime,
@@ -120,11 +136,13 @@
         yield* Queue.take(wake).pipe(Effect.timeoutOption(TURN_EVERY_MS));
         const mine = gate;
         gate = yield* Deferred.make<void>();
-        yield* turn(t, view).pipe(Effect.ensuring(Deferred.succeed(mine, undefined)));
+        yield* (t.acting() ? turn(t, view) : Effect.void).pipe(
+          Effect.ensuring(Deferred.succeed(mine, undefined)),
+        );
         yield* sendUrgent(book, ports.workers);
         yield* Effect.sleep(TURN_GAP_MS);
       }).pipe(Effect.forever);
-      const over = Effect.sleep(100).pipe(Effect.repeat({ while: () => t.acting() }));
+      const over = Effect.sleep(100).pipe(Effect.repeat({ while: () => t.reigning() }));
       yield* Effect.raceFirst(
         over,
         Effect.all([duty('turns', turns), fleetDuty(t, view, ports.cloud)], { concurrency: 'unbounded' }),
@@ -168,12 +186,11 @@
       ),
       unready,
     ),
-    run: Effect.all([feed.run, leadership.run, learnTypes, reigns], { concurrency: 'unbounded' }).pipe(
-      Effect.zipRight(Effect.never),
-    ),
-    served,
-    term: () => cache.term,
+    run: Effect.all([feed.run, leadership.run, peers.run, probe, learnTypes, reigns], {
+      concurrency: 'unbounded',
+    }).pipe(Effect.zipRight(Effect.never)),
     leadership,
+    peers,
     desk: () => desk,
   };
 };
--- a/src/scheduler/cycle.ts
+++ b/src/scheduler/cycle.ts
@@ -217,13 +217,16 @@
 
   /**
    * A task without GPUs leaves a GPU machine what its free GPUs need beside them, unless it is more urgent
-   * than every GPU job: room whose GPUs nobody can reach any more is lost to the jobs that need them.
+   * than every GPU job, or short while none of them waits: room whose GPUs nobody can reach any more is lost to the jobs that need them.
    */
   const strands = (job: Job, n: NodeState, left: Room): boolean => {
     if (job.spec.gpus > 0 || n.view.total[1] === 0) return false;
+    // Without any GPU task it is dear and idle: it should become empty and go back, not be kept by CPU tasks.
+    if (job.spec.urgency === 0 && job.spec.types === null && left[1] >= n.view.total[1] - 1e-6) return true;
     return input.companions.some(
       (c) =>
         c.urgency >= job.spec.urgency &&
+        (c.waiting || job.spec.estimate === 0 || job.spec.estimate > c.patience) &&
         (left[0] < left[1] * c.cpusPerGpu - 1e-6 || left[2] < left[1] * c.memPerGpu - 1e-6),
     );
   };
--- a/src/scheduler/duty.ts
+++ b/src/scheduler/duty.ts
@@ -32,12 +32,16 @@
   readonly book: Book;
   readonly reign: Reign;
   readonly acting: () => boolean;
+  /** Not deposed, though perhaps without right for the moment. */
+  readonly reigning: () => boolean;
+  /** Enough nodes know this term that no older leader can go on. */
+  readonly acknowledged: () => boolean;
   readonly types: () => readonly MachineType[];
   readonly clock: () => Micros;
   /** Time of day: deadlines count from a time of day. */
   readonly dayTime: () => Micros;
   /** What GPU jobs take beside each GPU, by class, as last seen. */
-  readonly companions: Map<string, Companion & { readonly seen: Micros }>;
+  readonly companions: Map<string, Omit<Companion, 'waiting'> & { readonly seen: Micros }>;
 }
 
 export const holdersOf = (t: Turn, at: Micros): Holder[] => {
@@ -119,16 +123,24 @@
 const REMEMBERED = 300e6;
 
 const companionsOf = (t: Turn, at: Micros): Companion[] => {
-  for (const { spec } of t.cache.jobs.values()) {
+  const waiting = new Set<string>();
+  for (const job of t.cache.jobs.values()) {
+    const { spec } = job;
     if (spec.gpus === 0) continue;
+    if (!job.withdrawn && job.done.size + job.placed.size < spec.tasks) waiting.add(spec.jobClass);
+    const slack = spec.deadline === null ? 0 : Math.max(0, spec.deadline - spec.estimate);
+    const known = t.companions.get(spec.jobClass);
     t.companions.set(spec.jobClass, {
       urgency: spec.urgency,
       cpusPerGpu: spec.cpus / spec.gpus,
       memPerGpu: spec.memGb / spec.gpus,
+      patience: Math.min(known?.patience ?? Number.POSITIVE_INFINITY, slack / 2) as Micros,
       seen: at,
     });
   }
-  return [...t.companions.values()].filter((c) => at - c.seen < REMEMBERED);
+  return [...t.companions]
+    .filter(([, c]) => at - c.seen < REMEMBERED)
+    .map(([jobClass, c]) => ({ ...c, waiting: waiting.has(jobClass) }));
 };
 
 /** Ends and starts of one record, within the limits of one transaction. */
@@ -176,7 +188,10 @@
   return { jobs, when, finals, whole };
 };
 
-/** Sends one transaction until its outcome is known, or the right to act is gone. */
+/**
+ * Sends one transaction until its outcome is known or the reign is over. Without right it waits: giving up
+ * in between would leave a record that may be applied and that nobody here counts with.
+ */
 const settle = (
   t: Turn,
   when: readonly Condition[],
@@ -186,7 +201,11 @@
   Effect.gen(function* () {
     let unsure = false;
     for (;;) {
-      if (!t.acting()) return null;
+      if (!t.reigning()) return null;
+      if (!t.acting()) {
+        yield* Effect.sleep(100);
+        continue;
+      }
       const r = yield* Effect.either(t.store.transact(when, then, Priority.Commit, 1200));
       if (r._tag === 'Right') {
         // Sent before without an answer, and now its own key stands in the way: the first copy was applied.
@@ -306,7 +325,8 @@
 export const turn = (t: Turn, view: CycleView) =>
   Effect.gen(function* () {
     const at = t.clock();
-    for (const machine of t.book.lapse(at)) yield* info('lease lapsed', { term: t.reign.term, machine });
+    for (const machine of t.book.lapse(at, t.acknowledged()))
+      yield* info('lease lapsed', { term: t.reign.term, machine });
     t.book.dirty = false;
     t.book.recalls(at);
     if (t.book.ends.size > 0 && !(yield* commit(t, []))) return;
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -57,6 +57,10 @@
   readonly urgency: number;
   readonly cpusPerGpu: number;
   readonly memPerGpu: number;
+  /** Some of its tasks wait for room now. */
+  readonly waiting: boolean;
+  /** A wait its jobs can bear, should one come: tasks shorter than this may use the room meanwhile. */
+  readonly patience: Micros;
 }
 
 export interface QueuedJob {
--- a/src/workers/book.ts
+++ b/src/workers/book.ts
@@ -7,6 +7,7 @@
 import type { ListedMachine } from '../fleet/model.js';
 import type { JobCache } from '../jobs/cache.js';
 import { type Job, type Placement, taskKey } from '../jobs/model.js';
+import { CONFIRM } from '../leadership/peers.js';
 import type { Settings } from '../settings/settings.js';
 import type { ExitCause, Order, Report, ReportedTask } from './codec.js';
 
@@ -72,6 +73,8 @@
   private readonly holds = new Map<string, Micros>();
   /** Stops that should also go out directly. */
   urgent: { machine: Machine; order: Order }[] = [];
+  /** Until when an older leader may have renewed leases; null: not known yet. */
+  private olderUntil: Micros | null = null;
   /** Something a cycle should look at has changed. */
   dirty = true;
 
@@ -292,14 +295,22 @@
     return f !== undefined && f.machines.size < 3 && f.machines.has(machine);
   }
 
-  /** A worker's lease, from the answer that may have renewed it last, has surely lapsed after this. */
-  leaseEnd(m: Machine): Micros {
-    return plus(m.lastAnswered, this.settings.workers.lease * (1 + 2 * DRIFT) + seconds(1));
+  /**
+   * A worker's lease, from the answer that may have renewed it last, has surely lapsed after this. Until the
+   * worker has shown this term's token, an older leader that holds on may have renewed it: until enough
+   * nodes acknowledged this term, for as long as their earlier word counted.
+   */
+  leaseEnd(m: Machine | undefined): Micros {
+    const from = m?.confirmed
+      ? m.lastAnswered
+      : Math.max(m?.lastAnswered ?? this.began, this.olderUntil ?? Number.POSITIVE_INFINITY);
+    return plus(from as Micros, this.settings.workers.lease * (1 + 2 * DRIFT) + seconds(1));
   }
 
   /** Declares what lapsed leases have surely ended. */
-  lapse(at: Micros): string[] {
+  lapse(at: Micros, acknowledged: boolean): string[] {
     const out: string[] = [];
+    if (acknowledged) this.olderUntil ??= plus(at, CONFIRM);
     for (const [id, on] of this.cache.byMachine) {
       const m = this.machines.get(id);
       const end = m
--- a/src/workers/duty.ts
+++ b/src/workers/duty.ts
@@ -56,7 +56,7 @@
       const r = read.right;
       onContact();
       leadership.depose(r.token);
-      const reign = leadership.acting();
+      const reign = leadership.answering();
       const d = desk();
       if (reign === null || d === null || d.book.term !== reign.term) {
         const to = leadership.known();
@@ -66,8 +66,8 @@
       if (m === null) return { status: 200, body: writeOrders(reign.term, []) };
       // A turn that this report calls for is waited for, shortly: the freed room's new start then goes
       // out at once instead of a report later.
-      if (d.book.dirty) yield* d.nextTurn;
-      const still = leadership.acting();
+      if (d.book.dirty && leadership.acting() !== null) yield* d.nextTurn;
+      const still = leadership.answering();
       if (still === null || still.term !== reign.term) return retryLater('not leading');
       const orders: Order[] = m.tick === r.tick && m.tenure === r.tenure ? d.book.orders(m) : [];
       return { status: 200, body: writeOrders(reign.term, orders) };
