--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -124,19 +124,22 @@
       }
       if (best < 0) continue;
     }
+    // A job that must spread needs room in more than one zone, however much one of them has.
+    const cap = d.job.spec.spread ? Math.ceil(d.job.spec.tasks / 2) : Number.POSITIVE_INFINITY;
+    const inZone = new Map<string, number>();
+    const zoneOk = (z: string): boolean => (zone === null || z === zone) && (inZone.get(z) ?? 0) < cap;
     for (let i = 0; i < d.count; i++) {
-      let bin = bins.find(
-        (b) => (zone === null || b.zone === zone) && allowed(d.job, b) && fits(need, b.free),
-      );
+      let bin = bins.find((b) => zoneOk(b.zone) && allowed(d.job, b) && fits(need, b.free));
       if (!bin) {
         const offer = offersFor(d.job, input.types, d.count - i).find(
-          (o) => (zone === null || o.zone === zone) && !input.refused(o),
+          (o) => zoneOk(o.zone) && !input.refused(o),
         );
         if (!offer) break;
         bin = open(offer) ?? undefined;
         if (!bin) break;
       }
       add(bin.free, need, -1);
+      inZone.set(bin.zone, (inZone.get(bin.zone) ?? 0) + 1);
     }
   }
   return [...out.values()];
--- a/src/scheduler/cycle.ts
+++ b/src/scheduler/cycle.ts
@@ -86,6 +86,8 @@
   // Eviction. Everything held takes room; what is evicted may be displaced from it later.
   const gangs = new Map<Job, Holder[]>();
   const zonesHeld = new Map<Job, Map<string, number>>();
+  /** Jobs with a task that may be anywhere: zone rules can't be kept for them yet. */
+  const lostSight = new Set<Job>();
   const evict = (job: Job, members: readonly Holder[]): void => {
     const team = teamOf(job.spec.team);
     const unit: Evicted = { team, job, members, loss: Math.max(...members.map((m) => m.loss)), out: false };
@@ -97,11 +99,12 @@
     const team = teamOf(h.job.spec.team);
     add(team.held, need);
     const node = nodes.get(h.machine);
-    if (node) {
-      add(node.free, need, -1);
+    if (node) add(node.free, need, -1);
+    if (h.zone === null) lostSight.add(h.job);
+    else {
       let zones = zonesHeld.get(h.job);
       if (!zones) zonesHeld.set(h.job, (zones = new Map()));
-      zones.set(node.view.zone, (zones.get(node.view.zone) ?? 0) + 1);
+      zones.set(h.zone, (zones.get(h.zone) ?? 0) + 1);
     }
     if (h.leaving) {
       if (node) add(node.leaving, need);
@@ -198,6 +201,7 @@
     readonly free: boolean;
   }
   const zonesAllowed = (job: Job): string[] => {
+    if (lostSight.has(job) && (job.spec.oneZone || job.spec.spread)) return [];
     const zones = new Set<string>();
     for (const n of nodes.values()) zones.add(n.view.zone);
     let list = [...zones].sort();
--- a/src/scheduler/duty.ts
+++ b/src/scheduler/duty.ts
@@ -59,7 +59,7 @@
       const run = t.book.running.get(key);
       const since = run ? at - run.since : 0;
       const loss = p.job.spec.checkpoint > 0 ? Math.min(since, p.job.spec.save) : since;
-      out.push({ job: p.job, task: p.task, machine, leaving, loss: loss as Micros });
+      out.push({ job: p.job, task: p.task, machine, zone: m?.zone ?? null, leaving, loss: loss as Micros });
     }
   }
   return out;
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -32,6 +32,8 @@
   readonly job: Job;
   readonly task: number;
   readonly machine: string;
+  /** null: the machine is on record, but where it stands is not known yet. */
+  readonly zone: string | null;
   /** Told to stop, or otherwise about to leave: its room is coming, it can't be displaced again. */
   readonly leaving: boolean;
   /** What stopping it now would throw away. */
--- a/test/scheduler.test.ts
+++ b/test/scheduler.test.ts
@@ -72,6 +72,7 @@
   job: j,
   task,
   machine,
+  zone: 'a',
   leaving,
   loss: ZERO,
 });
@@ -125,7 +126,7 @@
   for (const st of first.starts) {
     for (const [m, tasks] of st.on) {
       for (const t of tasks) {
-        holders.push(held(st.job, m, t));
+        holders.push({ ...held(st.job, m, t), zone: nodes.find((n) => n.id === m)!.zone });
         st.job.placed.set(t, { task: t, attempt: 1, machine: m });
       }
     }
@@ -295,6 +296,20 @@
   assert.equal(placed({ holders: [] }), 0);
 });
 
+// A new leader knows of tasks on machines it has not heard from: wherever they stand, they still count.
+test('zone rules count tasks on machines that have not reported', () => {
+  const nodes = [node('m', { zone: 'b' })];
+  const j = job('job-1', { tasks: 4, oneZone: true });
+  const rest = [{ job: j, rank: 0, tasks: [1, 2, 3] }];
+  const starts = (zone: string | null) =>
+    count(schedule(input({ nodes, holders: [{ ...held(j, 'unheard'), zone }], queued: rest })), 'job-1');
+  assert.deepEqual([starts('a'), starts(null), starts('b')], [0, 0, 3]);
+  const s = job('job-2', { tasks: 4, spread: true });
+  const two = [0, 1].map((t) => ({ ...held(s, 'unheard', t), zone: 'b' }));
+  const r = schedule(input({ nodes, holders: two, queued: [{ job: s, rank: 0, tasks: [2, 3] }] }));
+  assert.equal(count(r, 'job-2'), 0);
+});
+
 test('several hundred tasks of one array cost little', () => {
   const nodes = Array.from({ length: 48 }, (_, i) => node(`m${i}`));
   const r = schedule(input({ nodes, queued: [queued(job('job-1', { tasks: 400 }))] }));
