--- a/src/fleet/duty.ts
+++ b/src/fleet/duty.ts
@@ -10,6 +10,7 @@
 /** A refusal for want of capacity is believed for this long. */
 const REFUSED_FOR = seconds(12);
 const IDLE = seconds(45);
+const IDLE_SURPLUS = seconds(12);
 
 export const fleetDuty = (t: Turn, view: CycleView, cloud: CloudPort) => {
   const refusedUntil = new Map<string, Micros>();
@@ -82,7 +83,9 @@
     yield* remove(dead, 'silent');
     yield* remove(stuck, 'never booted');
     // Only with a view of the demand from a recent cycle, and never while a start may be on its way.
-    const back = returns(idle, (m) => (t.book.machines.get(m.id)?.closed ? (0 as Micros) : IDLE));
+    const back = returns(idle, (m) =>
+      t.book.machines.get(m.id)?.closed ? (0 as Micros) : view.surplus.has(m.id) ? IDLE_SURPLUS : IDLE,
+    );
     yield* remove(back, 'idle', true);
   });
 
--- a/src/node.ts
+++ b/src/node.ts
@@ -123,7 +123,7 @@
         dayTime: ports.dayTime,
         companions: new Map(),
       };
-      const view: CycleView = { result: null, at: reign.began };
+      const view: CycleView = { result: null, surplus: new Set(), at: reign.began };
       let gate = yield* Deferred.make<void>();
       desk = {
         book,
--- a/src/scheduler/cycle.ts
+++ b/src/scheduler/cycle.ts
@@ -226,7 +226,8 @@
   const strands = (job: Job, n: NodeState, left: Room): boolean => {
     if (job.spec.gpus > 0 || n.view.total[1] === 0) return false;
     // Without any GPU task it is dear and idle: it should become empty and go back, not be kept by CPU tasks.
-    if (job.spec.urgency === 0 && job.spec.types === null && left[1] >= n.view.total[1] - 1e-6) return true;
+    const low = job.spec.urgency === 0 && job.spec.types === null;
+    if (low && (input.surplus.has(n.view.id) || left[1] >= n.view.total[1] - 1e-6)) return true;
     return input.companions.some(
       (c) =>
         c.urgency >= job.spec.urgency &&
@@ -244,6 +245,7 @@
       loose / 3 +
       (job.spec.gpus === 0 && t[1] > 0 ? 4 : 0) +
       (n.view.images.has(job.spec.image) ? 0 : 0.4) +
+      (input.surplus.has(n.view.id) ? 8 : 0) +
       (job.spec.spot && !n.view.spot ? 1 : 0)
     );
   };
--- a/src/scheduler/duty.ts
+++ b/src/scheduler/duty.ts
@@ -20,6 +20,7 @@
 import { schedule } from './cycle.js';
 import type { Companion, CycleResult, Holder, NodeView, QueuedJob, Start } from './model.js';
 import { rankOf } from './rank.js';
+import { surplusOf } from './surplus.js';
 
 /** Records to keep before their jobs are folded. */
 const TAIL = 24;
@@ -318,6 +319,8 @@
 
 export interface CycleView {
   result: CycleResult | null;
+  /** Machines beyond need, see surplus.ts. */
+  surplus: ReadonlySet<string>;
   at: Micros;
 }
 
@@ -335,14 +338,18 @@
       if (job.placed.size > 0 && (job.withdrawn || t.book.isBroken(job))) t.book.clearAway(job);
     }
     const queued = queuedOf(t, at);
+    const nodes = nodesOf(t, at);
+    const holders = holdersOf(t, at);
+    view.surplus = surplusOf(nodes, holders, queued);
     const result = schedule({
       now: at,
       teams: t.settings.teams,
       weights: new Map(),
-      nodes: nodesOf(t, at),
-      holders: holdersOf(t, at),
+      nodes,
+      holders,
       queued,
       companions: companionsOf(t, at),
+      surplus: view.surplus,
       avoid: (job, machine) => t.book.avoid(job, machine),
     });
     view.result = result;
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -51,6 +51,8 @@
   readonly queued: readonly QueuedJob[];
   /** What the GPU jobs of the day take beside each GPU, by urgency. */
   readonly companions: readonly Companion[];
+  /** Machines beyond need: last choice, and not for low work without GPUs. */
+  readonly surplus: ReadonlySet<string>;
   /** Machines a job should avoid, because it failed there. */
   readonly avoid: (jobId: string, machine: string) => boolean;
 }
--- a/test/scheduler.test.ts
+++ b/test/scheduler.test.ts
@@ -6,6 +6,7 @@
 import type { Job, JobSpec, Urgency } from '../src/jobs/model.js';
 import { schedule } from '../src/scheduler/cycle.js';
 import type { CycleInput, CycleResult, Holder, NodeView, QueuedJob } from '../src/scheduler/model.js';
+import { surplusOf } from '../src/scheduler/surplus.js';
 import { rankOf } from '../src/scheduler/rank.js';
 
 const ZERO = 0 as Micros;
@@ -60,6 +61,7 @@
   holders: [],
   queued: [],
   companions: [],
+  surplus: new Set(),
   avoid: () => false,
   ...over,
 });
@@ -320,6 +322,20 @@
   );
 });
 
+// One GPU task on each of many GPU machines, and low CPU tasks beside it, once kept all of them for ever.
+test('GPU machines beyond need are left to become empty', () => {
+  const nodes = Array.from({ length: 5 }, (_, i) => node(`m${i}`, { type: 'g4', total: [8, 2, 32] }));
+  const gpu = (machine: string) => held(job('job-1', { gpus: 1, tasks: 5 }), machine);
+  const holders = [gpu('m0'), gpu('m1'), gpu('m2')];
+  const surplus = surplusOf(nodes, holders, []);
+  assert.deepEqual([...surplus].sort(), ['m2', 'm3', 'm4']);
+  assert.equal(surplusOf(nodes, holders, [queued(job('job-2', { gpus: 1, tasks: 6 }))]).size, 0);
+  const r = schedule(
+    input({ nodes, holders, surplus, queued: [queued(job('job-3', { gpus: 1, urgency: 1 }))] }),
+  );
+  assert.ok(!surplus.has([...r.starts[0]!.on.keys()][0]!));
+});
+
 // Past its deadline a job once kept its place, and one late job made the next one late.
 test('what is past its deadline queues behind what is not', () => {
   const s = (n: number): Micros => (n * 1e6) as Micros;
