--- a/src/scheduler/rank.ts
+++ b/src/scheduler/rank.ts
@@ -1,9 +1,11 @@
 /**
  * The order within a team's queue, among jobs of the same urgency: smaller goes first.
  *
- * By deadline. A job that has missed its deadline is no longer worth another's: it queues behind, by the next
- * multiple of the deadline that the users named; past all of them, in the order of submission. Only what is
- * already missed counts: estimates are off by half, and jobs in progress would fall behind for nothing.
+ * Jobs that can still meet their deadline go by the work they have left, least first: when there is not room
+ * for all, that lets the most of them be in time. A job that has missed its deadline is no longer worth
+ * another's: it queues behind, by the next multiple of the deadline that the users named; past all of them,
+ * in the order of submission. Only what is already missed counts: estimates are off by half, and jobs in
+ * progress would fall behind for nothing.
  */
 import type { Micros } from '../base/micros.js';
 import type { Job } from '../jobs/model.js';
@@ -11,11 +13,12 @@
 const BEHIND = 1e16;
 
 export const rankOf = (job: Job, day: Micros, multiples: readonly number[]): number => {
-  const { deadline, submitted } = job.spec;
+  const { deadline, estimate, submitted, tasks } = job.spec;
   if (deadline === null) return submitted;
+  const left = tasks - job.done.size - job.placed.size;
   for (let i = 0; i < multiples.length; i++) {
     const due = submitted + deadline * multiples[i]!;
-    if (day <= due) return i * BEHIND + due;
+    if (day <= due) return i * BEHIND + (i === 0 ? left * estimate : due);
   }
   return multiples.length * BEHIND + submitted;
 };
--- a/test/scheduler.test.ts
+++ b/test/scheduler.test.ts
@@ -340,8 +340,8 @@
 test('what is past its deadline queues behind what is not', () => {
   const s = (n: number): Micros => (n * 1e6) as Micros;
   const late = job('job-1', { submitted: s(0), deadline: s(100) });
-  const timely = job('job-2', { submitted: s(90), deadline: s(100) });
-  assert.ok(rankOf(late, s(50), [1]) < rankOf(timely, s(50), [1]));
+  const timely = job('job-2', { submitted: s(90), deadline: s(100), tasks: 9, estimate: s(20) });
+  assert.ok(rankOf(late, s(50), [1]) < rankOf(timely, s(50), [1]), 'least work left first');
   assert.ok(rankOf(late, s(101), [1]) > rankOf(timely, s(101), [1]));
   assert.ok(rankOf(late, s(101), [1, 1.75]) < rankOf(late, s(176), [1, 1.75]));
 });
