Machines that a waiting gang counts on are not returned; team limits rent nothing

Ruled out: placement, limits. The rental plan now names the machines it counts on. Also: what a team's limit holds back no longer rents machines.

--- a/src/fleet/duty.ts
+++ b/src/fleet/duty.ts
@@ -16,6 +16,7 @@
   const refusedUntil = new Map<string, Micros>();
   const keyOf = (o: Offer): string => `${o.type}|${o.zone}|${o.spot}`;
   let hires = 0;
+  let needed: ReadonlySet<string> = new Set();
   let listedOnce = false;
   let lastList = Number.NEGATIVE_INFINITY;
   const listEvery = Math.max(3e6, 1e6 / (t.settings.cloud.rps * 0.2));
@@ -68,7 +69,12 @@
         at - t.reign.began > 30e6
       ) {
         stuck.push(m.id);
-      } else if (m.emptySince !== null && on === 0 && m.recallAt === null) {
+      } else if (
+        m.emptySince !== null &&
+        on === 0 &&
+        m.recallAt === null &&
+        !(m.closed === null && needed.has(m.id))
+      ) {
         idle.push({
           id: m.id,
           type: m.type,
@@ -102,7 +108,7 @@
       const k = types.get(m.type);
       if (!k || m.closed !== null || m.listed === 'failed' || m.recallAt !== null) continue;
       const free = result.free.get(m.id);
-      if (t.book.open(m, at) && free) bins.push({ type: m.type, zone: m.zone, spot: m.spot, free });
+      if (t.book.open(m, at) && free) bins.push({ id: m.id, type: m.type, zone: m.zone, spot: m.spot, free });
       else if (!m.reported || !m.confirmed) {
         if (m.listed === 'running') silent = true;
         bins.push({ type: m.type, zone: m.zone, spot: m.spot, free: [k.cpus, k.gpus, k.memGb] });
@@ -112,14 +118,15 @@
     const demand: Demand[] = result.unplaced
       .filter((u) => !u.job.withdrawn)
       .sort((a, b) => b.job.spec.urgency - a.job.spec.urgency || a.job.spec.submitted - b.job.spec.submitted);
-    const wanted = rentals({
+    const plan = rentals({
       types: t.types(),
       bins,
       demand,
       refused: (o) => at < (refusedUntil.get(keyOf(o)) ?? 0),
       most: 40,
     });
-    for (const w of wanted) {
+    needed = plan.needed;
+    for (const w of plan.rent) {
       if (!t.acting()) return;
       // A name is never used again: it carries the term, which only one node ever holds.
       const name = `h-${t.reign.term}-${++hires}`;
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -5,6 +5,8 @@
 import type { MachineType } from './model.js';
 
 export interface Bin {
+  /** A machine that is there; absent for those only planned. */
+  readonly id?: string;
   readonly type: string;
   readonly zone: string;
   readonly spot: boolean;
@@ -74,10 +76,17 @@
   return out.map((o) => o.offer);
 };
 
-export const rentals = (input: PlanInput): Rental[] => {
+export interface Plan {
+  readonly rent: Rental[];
+  /** Machines that the demand counts on, though it can't use them yet: a gang waits for all of its machines. */
+  readonly needed: Set<string>;
+}
+
+export const rentals = (input: PlanInput): Plan => {
   const types = new Map(input.types.map((t) => [t.name, t]));
   const bins: Bin[] = input.bins.map((b) => ({ ...b, free: [...b.free] }));
   const out = new Map<string, Rental>();
+  const needed = new Set<string>();
   let left = input.most;
   const allowed = (job: Job, b: Bin): boolean =>
     (job.spec.zone === null || job.spec.zone === b.zone) &&
@@ -139,10 +148,11 @@
         if (!bin) break;
       }
       add(bin.free, need, -1);
+      if (bin.id !== undefined) needed.add(bin.id);
       inZone.set(bin.zone, (inZone.get(bin.zone) ?? 0) + 1);
     }
   }
-  return [...out.values()];
+  return { rent: [...out.values()], needed };
 };
 
 /** Empty machines to give back: idle long enough, past what is charged anyway, and wanted by nobody. */
--- a/src/scheduler/cycle.ts
+++ b/src/scheduler/cycle.ts
@@ -434,12 +434,13 @@
           job.spec.oneZone,
           job.spec.spread ? job.spec.id : '',
         ].join('|');
-    const choice =
-      overLimit(team, size) || (key !== '' && hopeless.has(key)) ? null : find(job, team, group.length);
+    const limited = overLimit(team, size);
+    const choice = limited || (key !== '' && hopeless.has(key)) ? null : find(job, team, group.length);
     if (choice === null) {
-      if (key !== '') hopeless.add(key);
+      if (key !== '' && !limited) hopeless.add(key);
       team.next++;
-      unplaced.push({ job, count: gang ? tasks.length : tasks.length - item.at });
+      // More machines would not help a team at its limit.
+      if (!limited) unplaced.push({ job, count: gang ? tasks.length : tasks.length - item.at });
       continue;
     }
     take(job, team, group, choice);
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -26,7 +26,8 @@
     },
     placed: new Map(),
   }) as unknown as Job;
-const plan = (over: Partial<PlanInput>): Rental[] =>
+const plan = (over: Partial<PlanInput>): Rental[] => full(over).rent;
+const full = (over: Partial<PlanInput>) =>
   rentals({ types: TYPES, bins: [], demand: [], refused: () => false, most: 40, ...over });
 
 test('rents the cheapest that fits, as many as are short, and asks elsewhere after a refusal', () => {
@@ -69,6 +70,24 @@
   );
 });
 
+// A gang's machines boot at different times; the early ones were returned as idle before the last was up, for ever.
+test('machines that a waiting gang counts on are needed', () => {
+  const bin = (id: string) => ({
+    id,
+    type: 'c8',
+    zone: 'a',
+    spot: false,
+    free: [8, 0, 32] as [number, number, number],
+  });
+  const gang = job({ shape: 'gang', oneZone: true, tasks: 3, cpus: 5 });
+  const got = full({ bins: [bin('m1'), bin('m2')], demand: [{ job: gang, count: 3 }] });
+  assert.deepEqual([...got.needed], ['m1', 'm2']);
+  assert.deepEqual(
+    got.rent.map((r) => [r.zone, r.count]),
+    [['a', 1]],
+  );
+});
+
 test('returns only what was idle for long enough and past the shortest charge', () => {
   const idle = (id: string, idleFor: number, age: number) => ({
     id,
