--- a/src/workers/book.ts
+++ b/src/workers/book.ts
@@ -312,11 +312,8 @@
     const out: string[] = [];
     if (acknowledged) this.olderUntil ??= plus(at, CONFIRM);
     for (const [id, on] of this.cache.byMachine) {
-      const m = this.machines.get(id);
-      const end = m
-        ? this.leaseEnd(m)
-        : plus(this.began, this.settings.workers.lease * (1 + 2 * DRIFT) + seconds(1));
-      if (at <= end) continue;
+      // Also for machines this leader has never heard of: an older one that holds on may still renew them.
+      if (at <= this.leaseEnd(this.machines.get(id))) continue;
       let any = false;
       for (const p of on.values()) {
         if (this.isEnding(p.job.spec.id, p.task)) continue;
