--- a/src/node.ts
+++ b/src/node.ts
@@ -34,6 +34,7 @@
   readonly served: () => boolean;
   readonly term: () => number;
   readonly leadership: Leadership;
+  readonly desk: () => Desk | null;
 }
 
 /** Between two turns: each costs writes of a budget that all controllers share. */
@@ -171,5 +172,6 @@
     served,
     term: () => cache.term,
     leadership,
+    desk: () => desk,
   };
 };
--- a/src/workers/book.ts
+++ b/src/workers/book.ts
@@ -27,8 +27,8 @@
   readonly tasks: Map<string, ReportedTask>;
   /** The latest report carried this term's token, so what it lacks is surely not there. */
   conclusive: boolean;
-  /** Tasks reported in this term and session. */
-  readonly seen: Set<string>;
+  /** Tasks reported in this term and session, with the attempt: a later attempt here has not been seen yet. */
+  readonly seen: Map<string, number>;
   /** Tasks reported that the record does not know. */
   strangers: boolean;
   listed: ListedMachine['status'] | null;
@@ -100,7 +100,7 @@
         recallAt: null,
         tasks: new Map(),
         conclusive: false,
-        seen: new Set(),
+        seen: new Map(),
         strangers: false,
         listed: null,
         since: at,
@@ -144,7 +144,12 @@
 
   private wanted(p: Placement & { readonly job: Job }, m: Machine): boolean {
     const key = taskKey(p.job.spec.id, p.task);
-    return m.recallAt === null && !p.job.withdrawn && !this.stopping.has(key) && !this.broken(p.job);
+    return (
+      m.recallAt === null &&
+      !p.job.withdrawn &&
+      this.stopping.get(key)?.attempt !== p.attempt &&
+      !this.broken(p.job)
+    );
   }
 
   /** Takes a report in. null: it is older than what is known, or the machine is gone. */
@@ -154,7 +159,7 @@
     if (m.reported && (r.tenure < m.tenure || (r.tenure === m.tenure && r.tick <= m.tick))) return null;
     if (m.reported && r.tenure > m.tenure) {
       // The session before has ended, and everything it held with it.
-      for (const key of m.seen) this.lost(m, key);
+      for (const [key, attempt] of m.seen) this.lost(m, key, attempt);
       m.seen.clear();
     }
     if (!m.reported) this.dirty = true;
@@ -189,7 +194,7 @@
     for (const [key, p] of on ?? []) {
       if (m.tasks.has(key) || this.isEnding(p.job.spec.id, p.task)) continue;
       // Seen before and not there any more, or: never arrived, and only our own next answer could still bring it.
-      if (m.seen.has(key) || (m.conclusive && !this.wanted(p, m))) this.gone(p.job, p.task);
+      if (m.seen.get(key) === p.attempt || (m.conclusive && !this.wanted(p, m))) this.gone(p.job, p.task);
     }
     const empty = r.tasks.every((t) => t.status === 'exited') && (on?.size ?? 0) === 0;
     if (!empty) m.emptySince = null;
@@ -218,7 +223,12 @@
       }
     }
     for (const [key, p] of on ?? []) {
-      if (!m.conclusive || m.tasks.has(key) || m.seen.has(key) || this.isEnding(p.job.spec.id, p.task))
+      if (
+        !m.conclusive ||
+        m.tasks.has(key) ||
+        m.seen.get(key) === p.attempt ||
+        this.isEnding(p.job.spec.id, p.task)
+      )
         continue;
       if (this.wanted(p, m)) orders.push({ op: 'start', key, attempt: p.attempt });
     }
@@ -232,14 +242,14 @@
     this.end(job, task, 'gone');
   }
 
-  private lost(m: Machine, key: string): void {
+  private lost(m: Machine, key: string, attempt: number): void {
     const p = this.cache.byMachine.get(m.id)?.get(key);
-    if (p && !this.isEnding(p.job.spec.id, p.task)) this.gone(p.job, p.task);
+    if (p && p.attempt === attempt && !this.isEnding(p.job.spec.id, p.task)) this.gone(p.job, p.task);
   }
 
   private observe(m: Machine, p: Placement & { readonly job: Job }, t: ReportedTask, at: Micros): void {
     const { job } = p;
-    m.seen.add(t.key);
+    m.seen.set(t.key, t.attempt);
     if (t.status !== 'exited') {
       if (t.status === 'running' && !this.running.has(t.key))
         this.running.set(t.key, { since: at, machine: m.id });
--- /dev/null
+++ b/test/world/worker.ts
@@ -0,0 +1,381 @@
+/** Stand-in for one machine and its worker, by the protocol: sessions, tokens, leases, gangs, late commands. */
+import { type Effect, Exit } from 'effect';
+import type { Answer, Incoming } from '../../src/base/http-server.js';
+import type { Place, Rules, Spec } from './rules.js';
+import type { Luck, Time } from './time.js';
+
+export interface JobTruth extends Spec {
+  readonly runUs: number;
+  readonly saveEvery: number;
+  readonly saveTakes: number;
+  readonly shape: string;
+  readonly broken: boolean;
+  submitted: boolean;
+  progress: Map<number, number>;
+  finished: Set<number>;
+}
+interface Task {
+  readonly key: string;
+  readonly attempt: number;
+  status: 'fetching' | 'gathering' | 'running' | 'flushing' | 'ended';
+  cause?: string;
+  stored?: boolean;
+  began: number;
+  cancel: () => void;
+}
+export interface Net {
+  handle(node: string, r: Incoming): Effect.Effect<Answer> | null;
+  /** Delay of one message; null: held back until later, or lost. */
+  delay(): number;
+  cut(zone: string, node: string): boolean;
+  readonly nodes: readonly string[];
+}
+export interface Timing {
+  readonly report: number;
+  readonly lease: number;
+  readonly gangWait: number;
+  readonly gangPeer: number;
+}
+export interface GangWorld {
+  readonly jobs: Map<string, JobTruth>;
+  readonly workers: Map<string, Worker>;
+}
+
+export class Worker {
+  tenure = 1;
+  tick = 0;
+  token = 0;
+  readonly tasks = new Map<string, Task>();
+  private leaseFrom: number;
+  private readonly drift: number;
+  alive = true;
+  hanging = false;
+  private node = 0;
+  private readonly images = new Set<string>();
+  private flying = false;
+  private reportAt = 0;
+  private cancelReport: () => void = () => undefined;
+  recallAt: number | null = null;
+
+  constructor(
+    readonly place: Place,
+    private readonly room: { cpus: number; gpus: number; memGb: number },
+    private readonly time: Time,
+    private readonly luck: Luck,
+    private readonly net: Net,
+    private readonly rules: Rules,
+    private readonly world: GangWorld,
+    private readonly timing: Timing,
+  ) {
+    this.leaseFrom = time.now;
+    this.drift = luck.between(-0.0005, 0.0005);
+    this.node = luck.int(net.nodes.length);
+    this.schedule(luck.between(0, 500_000));
+    this.leaseLoop();
+  }
+
+  private leaseLoop(): void {
+    if (!this.alive) return;
+    const end = this.leaseFrom + this.timing.lease * (1 + this.drift);
+    if (this.time.now >= end) {
+      this.killAll();
+      this.tenure++;
+      this.leaseFrom = this.time.now;
+      this.changed();
+    }
+    const next = this.leaseFrom + this.timing.lease * (1 + this.drift);
+    this.time.after(Math.max(1000, Math.min(next - this.time.now, 500_000)), () => this.leaseLoop());
+  }
+
+  private killAll(): void {
+    for (const t of this.tasks.values()) {
+      const job = this.world.jobs.get(t.key.slice(0, t.key.indexOf('/')))!;
+      const running = t.status === 'running' || t.status === 'flushing';
+      this.drop(t);
+      if (running && job.shape === 'ensemble') this.peersNotice(job, t.attempt);
+    }
+    this.tasks.clear();
+  }
+
+  private peersNotice(job: JobTruth, attempt: number): void {
+    this.time.after(this.timing.gangPeer, () => {
+      for (const [w, t] of this.members(job, attempt)) if (t.status === 'running') w.exit(t, 'peers');
+    });
+  }
+
+  private drop(t: Task): void {
+    t.cancel();
+    if (this.onMachine(t)) this.rules.leave(t.key, this.place.id);
+    t.status = 'ended';
+  }
+
+  private onMachine(t: Task): boolean {
+    return t.status !== 'fetching' && t.status !== 'ended';
+  }
+
+  die(): void {
+    this.alive = false;
+    this.cancelReport();
+    this.killAll();
+  }
+
+  private changed(): void {
+    if (!this.alive) return;
+    const wait = Math.max(10_000, this.reportAt + 500_000 - this.time.now);
+    this.schedule(wait);
+  }
+
+  private schedule(delay: number): void {
+    this.cancelReport();
+    this.cancelReport = this.time.after(delay, () => this.send());
+  }
+
+  body(): string {
+    this.tick++;
+    return JSON.stringify({
+      host: this.place.id,
+      addr: this.place.id,
+      hostKind: this.place.type,
+      room: this.place.zone,
+      borrowed: this.place.spot,
+      tenure: this.tenure,
+      tick: this.tick,
+      warrant: this.token,
+      recallS: this.recallAt === null ? null : Math.max(0, (this.recallAt - this.time.now) / 1e6),
+      pieces: [...this.tasks.values()].map((t) => ({
+        piece: t.key,
+        try: t.attempt,
+        status: t.status,
+        cause: t.cause,
+        stored: t.stored,
+      })),
+    });
+  }
+
+  private send(): void {
+    if (!this.alive) return;
+    if (this.flying || this.hanging) {
+      this.schedule(200_000);
+      return;
+    }
+    this.flying = true;
+    this.reportAt = this.time.now;
+    const sent = this.time.now;
+    const tenure = this.tenure;
+    const node = this.net.nodes[this.node % this.net.nodes.length]!;
+    const body = Buffer.from(this.body());
+    let over = false;
+    const finish = (a: Answer | null): void => {
+      if (over) return;
+      over = true;
+      this.flying = false;
+      if (!this.alive) return;
+      let wait = this.timing.report * this.luck.between(0.75, 1.25);
+      if (a === null || (a.status !== 200 && a.status !== 421)) {
+        this.node++;
+        wait = 1e6;
+      } else {
+        const v = JSON.parse(a.body.toString()) as { warrant?: number; answerTo?: string; orders?: Order[] };
+        if (a.status === 421) {
+          const to = v.answerTo === undefined ? -1 : this.net.nodes.indexOf(v.answerTo);
+          if (to >= 0 && to !== this.node % this.net.nodes.length) {
+            this.node = to;
+            wait = this.luck.between(0, 500_000);
+          } else {
+            this.node++;
+            wait = 1e6;
+          }
+        } else if (v.warrant !== undefined && v.warrant >= this.token && tenure === this.tenure) {
+          const higher = v.warrant > this.token;
+          this.token = v.warrant;
+          this.leaseFrom = Math.max(this.leaseFrom, sent);
+          const before = this.signature();
+          this.execute(v.orders ?? []);
+          if (higher || before !== this.signature()) wait = 500_000;
+        }
+      }
+      this.schedule(wait);
+    };
+    this.time.after(4e6, () => finish(null));
+    if (this.net.cut(this.place.zone, node)) {
+      // Held: it may arrive long after the worker has given up.
+      if (this.luck.chance(0.5))
+        this.time.after(this.luck.between(4e6, 40e6), () => this.deliver(node, body, () => undefined));
+      return;
+    }
+    this.time.after(this.net.delay(), () =>
+      this.deliver(node, body, (a) => {
+        this.time.after(this.net.delay(), () => finish(this.net.cut(this.place.zone, node) ? null : a));
+      }),
+    );
+  }
+
+  private deliver(node: string, body: Buffer, then: (a: Answer | null) => void): void {
+    const effect = this.net.handle(node, {
+      method: 'POST',
+      path: '/agent/beat',
+      query: new URLSearchParams(),
+      body,
+    });
+    if (effect === null) {
+      then(null);
+      return;
+    }
+    const fiber = this.time.fork(effect);
+    fiber.addObserver((exit) => then(Exit.isSuccess(exit) ? exit.value : null));
+  }
+
+  private signature(): string {
+    return [...this.tasks.values()].map((t) => `${t.key}${t.attempt}${t.status}`).join();
+  }
+
+  /** A command sent to the worker's address. */
+  direct(body: string): void {
+    if (!this.alive) return;
+    if (this.hanging) {
+      this.time.after(500_000, () => this.direct(body));
+      return;
+    }
+    const v = JSON.parse(body) as { warrant?: number; tenure?: number; orders: Order[] };
+    if (
+      v.warrant === undefined ||
+      v.tenure === undefined ||
+      v.warrant < this.token ||
+      v.tenure !== this.tenure
+    )
+      return;
+    this.token = v.warrant;
+    const before = this.signature();
+    this.execute(v.orders);
+    this.tick++;
+    if (before !== this.signature()) this.changed();
+  }
+
+  private execute(orders: Order[]): void {
+    for (const o of orders) {
+      const t = this.tasks.get(o.piece);
+      if (o.orderKind === 'run') this.begin(o.piece, o.try);
+      else if (o.orderKind === 'stop') {
+        if (t && t.attempt === o.try && t.status !== 'ended') this.halt(t, (o.windDownS ?? 0) * 1e6);
+      } else if (t && t.attempt === o.try && t.status === 'ended') this.tasks.delete(o.piece);
+    }
+  }
+
+  private begin(key: string, attempt: number): void {
+    const old = this.tasks.get(key);
+    if (old && old.attempt === attempt) return;
+    if (old) return; // in_use, reported as such elsewhere; the old attempt stays
+    const id = key.slice(0, key.indexOf('/'));
+    const job = this.world.jobs.get(id);
+    const task: Task = { key, attempt, status: 'fetching', began: 0, cancel: () => undefined };
+    this.tasks.set(key, task);
+    const refuse = (cause: string) => {
+      task.status = 'ended';
+      task.cause = cause;
+    };
+    if (!job?.submitted) return refuse('unknown');
+    let cpus = job.cpus;
+    for (const t of this.tasks.values()) {
+      if (t !== task && t.status !== 'ended')
+        cpus += this.world.jobs.get(t.key.slice(0, t.key.indexOf('/')))!.cpus;
+    }
+    if (cpus > this.room.cpus + 1e-6) return refuse('full');
+    const fetch = this.images.has(id) ? 0 : this.luck.between(300_000, 3e6);
+    task.cancel = this.time.after(fetch, () => this.ready(task, job));
+  }
+
+  private ready(task: Task, job: JobTruth): void {
+    if (this.hanging) {
+      task.cancel = this.time.after(500_000, () => this.ready(task, job));
+      return;
+    }
+    this.images.add(job.id);
+    const n = Number(task.key.slice(task.key.indexOf('/') + 1));
+    task.status = job.shape === 'ensemble' ? 'gathering' : 'running';
+    this.rules.start(task.key, this.place, this.time.now);
+    this.changed();
+    if (job.broken) {
+      task.cancel = this.time.after(500_000, () => this.exit(task, 'error'));
+      return;
+    }
+    if (job.finished.has(n)) return this.exit(task, 'done');
+    if (job.shape === 'ensemble') {
+      const members = this.members(job, task.attempt);
+      if (members.length === job.tasks && members.every(([, t]) => t.status === 'gathering')) {
+        for (const [w, t] of members) w.run(t, job);
+      } else task.cancel = this.time.after(this.timing.gangWait, () => this.exit(task, 'alone'));
+    } else this.run(task, job);
+  }
+
+  private members(job: JobTruth, attempt: number): [Worker, Task][] {
+    const out: [Worker, Task][] = [];
+    for (const w of this.world.workers.values()) {
+      if (!w.alive) continue;
+      for (const t of w.tasks.values()) {
+        if (t.attempt === attempt && t.status !== 'ended' && t.key.startsWith(`${job.id}/`)) out.push([w, t]);
+      }
+    }
+    return out;
+  }
+
+  run(task: Task, job: JobTruth): void {
+    task.cancel();
+    task.status = 'running';
+    task.began = this.time.now;
+    this.changed();
+    if (job.shape === 'daemon') return;
+    const n = Number(task.key.slice(task.key.indexOf('/') + 1));
+    const left = Math.max(0, job.runUs - (job.progress.get(n) ?? 0));
+    const check = (): void => {
+      if (this.hanging) {
+        task.cancel = this.time.after(500_000, check);
+        return;
+      }
+      job.finished.add(n);
+      this.rules.complete(task.key);
+      this.exit(task, 'done');
+      if (job.shape === 'ensemble') {
+        for (let i = 0; i < job.tasks; i++) {
+          job.finished.add(i);
+          this.rules.complete(`${job.id}/${i}`);
+        }
+        for (const [w, t] of this.members(job, task.attempt)) w.exit(t, 'done');
+      }
+    };
+    task.cancel = this.time.after(left, check);
+  }
+
+  private halt(task: Task, grace: number): void {
+    const job = this.world.jobs.get(task.key.slice(0, task.key.indexOf('/')))!;
+    if (task.status === 'running' && job.saveEvery > 0 && grace >= job.saveTakes) {
+      const n = Number(task.key.slice(task.key.indexOf('/') + 1));
+      const done = this.time.now - task.began;
+      task.cancel();
+      task.status = 'flushing';
+      task.cancel = this.time.after(job.saveTakes, () => {
+        job.progress.set(n, (job.progress.get(n) ?? 0) + done);
+        task.stored = true;
+        this.exit(task, 'stopped');
+      });
+      this.changed();
+    } else if (task.status !== 'flushing' || grace === 0) this.exit(task, 'stopped');
+  }
+
+  exit(task: Task, cause: string): void {
+    if (task.status === 'ended') return;
+    const running = task.status === 'running' || task.status === 'flushing';
+    this.drop(task);
+    task.cause = cause;
+    this.changed();
+    const job = this.world.jobs.get(task.key.slice(0, task.key.indexOf('/')))!;
+    if (job.shape === 'ensemble' && running && cause !== 'done' && cause !== 'peers')
+      this.peersNotice(job, task.attempt);
+  }
+}
+
+interface Order {
+  orderKind: string;
+  piece: string;
+  try: number;
+  windDownS?: number;
+}
--- /dev/null
+++ b/test/world/world.ts
@@ -0,0 +1,502 @@
+/**
+ * A whole deployment on virtual time: the real nodes, stand-ins for everything else, seeded troubles, and
+ * the protocol's rules checked after every step.
+ */
+import { Effect, Exit, Fiber } from 'effect';
+import type { Answer, Incoming } from '../../src/base/http-server.js';
+import { seconds, type Micros, micros } from '../../src/base/micros.js';
+import { CloudRefused, type CloudPort } from '../../src/fleet/cloud.js';
+import type { ListedMachine, MachineType } from '../../src/fleet/model.js';
+import { makeNode, type Node } from '../../src/node.js';
+import type { Settings } from '../../src/settings/settings.js';
+import { Rules } from './rules.js';
+import { StateService } from './state.js';
+import { Luck, Time } from './time.js';
+import { type JobTruth, type Net, Worker } from './worker.js';
+
+export const ZONES = ['a', 'b'];
+export const TYPES: MachineType[] = [
+  {
+    name: 'c8',
+    cpus: 8,
+    gpus: 0,
+    memGb: 32,
+    cacheGb: 50,
+    fetchGbPerS: 1,
+    price: 1,
+    spotPrice: 0.4,
+    boot: seconds(10),
+    zones: ZONES,
+  },
+  {
+    name: 'g4',
+    cpus: 8,
+    gpus: 4,
+    memGb: 64,
+    cacheGb: 50,
+    fetchGbPerS: 1,
+    price: 5,
+    spotPrice: 2,
+    boot: seconds(15),
+    zones: ZONES,
+  },
+];
+export const worldSettings = (label: string, over: Partial<Settings> = {}): Settings => ({
+  label,
+  zone: 'a',
+  listen: '127.0.0.1:1',
+  peerListen: '127.0.0.1:2',
+  peers: [],
+  cloudAddress: '127.0.0.1:3',
+  stateAddress: '127.0.0.1:4',
+  nodes: 3,
+  zones: ZONES,
+  skew: micros(5000),
+  teams: [
+    { name: 'red', guarantee: { cpus: 8, gpus: 0 }, limit: { cpus: 24, gpus: 0 } },
+    { name: 'blue', guarantee: { cpus: 0, gpus: 0 }, limit: { cpus: 0, gpus: 0 } },
+  ],
+  objectives: [],
+  workers: {
+    report: seconds(2),
+    lease: seconds(12),
+    gangWait: seconds(20),
+    gangPeer: seconds(4),
+    cancel: seconds(35),
+  },
+  state: { rps: 100, writeRps: 30, valueBytes: 16384, txnOps: 20 },
+  cloud: { rps: 4, listLag: seconds(4) },
+  limits: { cores: 0.3, memoryMb: 200, maxConnections: 1000 },
+  ...over,
+});
+
+interface Hired {
+  readonly id: string;
+  readonly type: MachineType;
+  readonly zone: string;
+  readonly spot: boolean;
+  readonly at: number;
+  status: ListedMachine['status'];
+  deleted: boolean;
+}
+
+export interface Troubles {
+  readonly nodeCrash?: boolean;
+  readonly stateOutage?: boolean;
+  readonly stateCut?: boolean;
+  readonly lost?: boolean;
+  readonly netCut?: boolean;
+  readonly machineDie?: boolean;
+  readonly machineHang?: boolean;
+  readonly cloudOutage?: boolean;
+}
+
+const NODES = ['n0', 'n1', 'n2'];
+
+export class World implements Net {
+  readonly time: Time;
+  readonly luck: Luck;
+  readonly state: StateService;
+  readonly rules: Rules;
+  readonly jobs = new Map<string, JobTruth>();
+  readonly workers = new Map<string, Worker>();
+  readonly nodes = NODES;
+  private readonly live = new Map<string, { node: Node; fiber: Fiber.RuntimeFiber<unknown, unknown> }>();
+  private readonly hired = new Map<string, Hired>();
+  private readonly hires = new Map<string, string[]>();
+  private machineNo = 0;
+  private cloudOut = false;
+  private readonly cuts = new Set<string>();
+  accepted = 0;
+  over = 0;
+
+  constructor(
+    seed: number,
+    private readonly troubles: Troubles,
+    private readonly settings: (label: string) => Settings = worldSettings,
+  ) {
+    this.time = new Time(seed);
+    this.luck = new Luck(seed);
+    this.state = new StateService(this.time, this.luck);
+    const s = settings('n0');
+    this.rules = new Rules(s.workers.cancel, Object.fromEntries(s.teams.map((t) => [t.name, t.limit])));
+    this.time.onStep = () => this.rules.check(this.time.now);
+    for (const n of NODES) this.boot(n);
+    if (troubles.lost) this.state.lossy = 0.03;
+  }
+
+  private boot(name: string): void {
+    const offset = this.luck.between(0, 1e9);
+    const rate = 1 + this.luck.between(-0.00025, 0.00025);
+    const began = this.time.now;
+    const clock = (): Micros => micros(offset + (this.time.now - began) * rate);
+    const store = this.state.port(name);
+    // The port stamps true time; the node reads its own clock.
+    const own = new Proxy(store, {
+      get: (t, k) =>
+        k === 'lastServed' || k === 'lastRefused'
+          ? offset + ((t[k] as number) - began) * rate
+          : Reflect.get(t, k),
+    });
+    const node = makeNode(this.settings(name), {
+      store: own,
+      cloud: this.cloud(),
+      workers: {
+        orders: (addr, body) =>
+          Effect.sync(() => {
+            const w = this.workers.get(addr);
+            if (!w) return;
+            if (this.cut(w.place.zone, name)) {
+              // Held in the network: executed late, if token and session still match.
+              this.time.after(this.luck.between(5e6, 60e6), () => w.direct(body));
+            } else this.time.after(this.delay(), () => w.direct(body));
+          }),
+      },
+      otherServed: () => NODES.some((n) => n !== name && (this.live.get(n)?.node.served() ?? false)),
+      clock,
+      dayTime: () => micros(this.time.now + 1e12),
+    });
+    this.live.set(name, { node, fiber: this.time.fork(node.run) });
+  }
+
+  crash(name: string, back: number): void {
+    const l = this.live.get(name);
+    if (!l) return;
+    this.live.delete(name);
+    this.time.fork(Fiber.interruptFork(l.fiber));
+    this.time.after(back, () => this.boot(name));
+  }
+
+  handle(node: string, r: Incoming): Effect.Effect<Answer> | null {
+    const l = this.live.get(node);
+    return l ? l.node.handle(r) : null;
+  }
+  delay(): number {
+    return this.luck.between(200, 3000);
+  }
+  cut(zone: string, node: string): boolean {
+    return this.cuts.has(node) || this.cuts.has(`${zone}|${node}`);
+  }
+
+  private cloud(): CloudPort {
+    const call = <A>(go: () => A | CloudRefused): Effect.Effect<A, CloudRefused> =>
+      Effect.async<A, CloudRefused>((resume) => {
+        this.time.after(this.luck.between(50_000, 200_000), () => {
+          const r = this.cloudOut ? new CloudRefused({ status: 503, reason: 'trouble' }) : go();
+          resume(r instanceof CloudRefused ? Effect.fail(r) : Effect.succeed(r));
+        });
+      });
+    return {
+      types: () => call(() => TYPES as readonly MachineType[]),
+      list: () =>
+        call(() => {
+          const asOf = this.time.now - this.luck.between(0, 8e6);
+          return [...this.hired.values()]
+            .filter((h) => !h.deleted && h.at <= asOf)
+            .map((h) => ({
+              id: h.id,
+              addr: h.id,
+              type: h.type.name,
+              zone: h.zone,
+              spot: h.spot,
+              status: h.status,
+              age: micros(asOf - h.at),
+            }));
+        }),
+      hire: (h) =>
+        call(() => {
+          const old = this.hires.get(h.name);
+          if (old) return old;
+          const have = [...this.hired.values()].filter(
+            (x) => !x.deleted && x.type.name === h.type && x.zone === h.zone,
+          ).length;
+          const n = Math.min(h.count, 6 - have);
+          if (n <= 0) return null;
+          const ids: string[] = [];
+          for (let i = 0; i < n; i++)
+            ids.push(
+              this.rent(
+                TYPES.find((t) => t.name === h.type)!,
+                h.zone,
+                h.spot,
+              ),
+            );
+          this.hires.set(h.name, ids);
+          return ids;
+        }),
+      remove: (ids) =>
+        call(() => {
+          for (const id of ids) this.take(id, true);
+        }),
+    };
+  }
+
+  private rent(type: MachineType, zone: string, spot: boolean): string {
+    const id = `vm-${String(++this.machineNo).padStart(6, '0')}`;
+    const h: Hired = { id, type, zone, spot, at: this.time.now, status: 'booting', deleted: false };
+    this.hired.set(id, h);
+    if (this.luck.chance(0.03)) return id;
+    this.time.after(type.boot * this.luck.between(0.1, 1.5), () => {
+      if (h.deleted) return;
+      h.status = 'running';
+      const s = this.settings('n0').workers;
+      this.workers.set(
+        id,
+        new Worker(
+          { id, type: type.name, zone, spot },
+          type,
+          this.time,
+          this.luck,
+          this,
+          this.rules,
+          this,
+          s,
+        ),
+      );
+    });
+    return id;
+  }
+
+  private take(id: string, deleted: boolean): void {
+    const h = this.hired.get(id);
+    if (h) {
+      if (deleted) h.deleted = true;
+      else this.time.after(30e6, () => (h.status = 'failed'));
+    }
+    this.workers.get(id)?.die();
+    this.workers.delete(id);
+  }
+
+  private call(
+    node: string,
+    method: string,
+    path: string,
+    body: string | null,
+    then: (a: Answer | null) => void,
+  ): void {
+    const effect = this.cuts.has(node)
+      ? null
+      : this.handle(node, { method, path, query: new URLSearchParams(), body: Buffer.from(body ?? '') });
+    if (effect === null) {
+      this.time.after(1e6, () => then(null));
+      return;
+    }
+    let over = false;
+    const finish = (a: Answer | null) => {
+      if (over) return;
+      over = true;
+      then(a);
+    };
+    this.time.after(5e6, () => finish(null));
+    this.time.after(this.delay(), () => {
+      this.time.fork(effect).addObserver((e) => finish(Exit.isSuccess(e) ? e.value : null));
+    });
+  }
+
+  /** A user: submits with retries, polls, now and then cancels, and asks again when all is over. */
+  submit(cancelAfter: number | null): void {
+    const l = this.luck;
+    const id = `job-${String(l.int(1e9)).padStart(9, '0')}`;
+    if (this.jobs.has(id)) return;
+    const shape = l.chance(0.35) ? 'ensemble' : l.chance(0.1) && cancelAfter !== null ? 'daemon' : 'array';
+    const gpus = l.chance(0.3) ? 1 : 0;
+    const oneZone = l.chance(0.4);
+    const job: JobTruth = {
+      id,
+      team: l.chance(0.5) ? 'red' : 'blue',
+      shape,
+      tasks: shape === 'ensemble' ? 1 + l.int(3) : 1 + l.int(6),
+      cpus: 1 + l.int(6),
+      gpus,
+      types: gpus > 0 ? ['g4'] : l.chance(0.3) ? ['c8'] : null,
+      zone: l.chance(0.2) ? 'a' : null,
+      oneZone,
+      spread: !oneZone && l.chance(0.15),
+      spot: l.chance(0.5),
+      runUs: l.between(3e6, 25e6),
+      saveEvery: l.chance(0.5) ? 5e6 : 0,
+      saveTakes: 2e6,
+      broken: l.chance(0.03) && cancelAfter !== null,
+      submitted: true,
+      progress: new Map(),
+      finished: new Set(),
+    };
+    if (job.zone !== null) (job as { spread: boolean }).spread = false;
+    if (job.shape !== 'array') while (job.cpus * job.tasks > 24) (job as { cpus: number }).cpus--;
+    this.jobs.set(id, job);
+    const body = JSON.stringify({
+      id,
+      jobClass: 'x',
+      owner: job.team,
+      shape,
+      urgency: ['low', 'normal', 'high', 'production'][l.int(4)],
+      pieces: job.tasks,
+      vcpus: job.cpus,
+      accelerators: job.gpus,
+      memGb: 2,
+      bundle: id,
+      imageGb: 1,
+      hostsKinds: job.types,
+      room: job.zone,
+      samePlace: job.oneZone,
+      scatter: job.spread,
+      borrowed: job.spot,
+      expectS: shape === 'daemon' ? 0 : job.runUs / 1e6,
+      saveEveryS: job.saveEvery / 1e6,
+      saveTakesS: job.saveTakes / 1e6,
+      dueS: null,
+    });
+    this.rules.specs.set(id, job);
+    const attempt = (n: number): void => {
+      this.call(NODES[l.int(3)]!, 'POST', '/work', body, (a) => {
+        if (a) this.rules.submitted(id, a.status, this.time.now);
+        if (a && (a.status === 200 || a.status === 201)) {
+          this.accepted++;
+          this.poll(id);
+          if (l.chance(0.2))
+            this.time.after(l.between(1e6, 60e6), () =>
+              this.call(
+                NODES[l.int(3)]!,
+                'POST',
+                '/work',
+                body,
+                (b) => b && this.rules.submitted(id, b.status, this.time.now),
+              ),
+            );
+        } else if (n < 60) this.time.after(1e6, () => attempt(n + 1));
+      });
+    };
+    attempt(0);
+    if (cancelAfter !== null) this.time.after(cancelAfter, () => this.cancel(id));
+  }
+
+  private cancel(id: string): void {
+    this.rules.askCancel(id);
+    this.call(NODES[this.luck.int(3)]!, 'POST', `/work/${id}/withdraw`, null, (a) => {
+      if (a?.status === 200) {
+        this.rules.answered(
+          id,
+          200,
+          (JSON.parse(a.body.toString()) as { status: string }).status,
+          this.time.now,
+        );
+      } else this.time.after(1e6, () => this.cancel(id));
+    });
+  }
+
+  private poll(id: string): void {
+    this.call(NODES[this.luck.int(3)]!, 'GET', `/work/${id}`, null, (a) => {
+      const state =
+        a?.status === 200 ? (JSON.parse(a.body.toString()) as { status: string }).status : undefined;
+      if (a) this.rules.answered(id, a.status, state, this.time.now);
+      if (state === 'done' || state === 'aborted') {
+        this.over++;
+        this.time.after(this.luck.between(1e6, 90e6), () =>
+          this.call(NODES[this.luck.int(3)]!, 'GET', `/work/${id}`, null, (b) => {
+            if (b) {
+              const s =
+                b.status === 200 ? (JSON.parse(b.body.toString()) as { status: string }).status : undefined;
+              this.rules.answered(id, b.status, s, this.time.now);
+            }
+          }),
+        );
+        return;
+      }
+      this.time.after(3e6, () => this.poll(id));
+    });
+  }
+
+  /** Asks about jobs that nobody has submitted. */
+  private stranger(): void {
+    const id = `job-9${String(this.luck.int(1e8)).padStart(10, '0')}`;
+    this.call(NODES[this.luck.int(3)]!, 'GET', `/work/${id}`, null, (a) => {
+      if (a) this.rules.answered(id, a.status, undefined, this.time.now);
+    });
+  }
+
+  /** Some jobs, some troubles, then a quiet time in which everything should come to its end. */
+  play(jobs: number, troubled: number, quiet: number): void {
+    const l = this.luck;
+    for (let i = 0; i < jobs; i++) {
+      const cancels = l.chance(0.25) ? l.between(1e6, 60e6) : null;
+      this.time.after(l.between(0, troubled * 0.7), () => this.submit(cancels));
+    }
+    for (let i = 0; i < 5; i++) this.time.after(l.between(0, troubled), () => this.stranger());
+    const t = this.troubles;
+    const kinds: (() => void)[] = [];
+    const pick = () => NODES[l.int(3)]!;
+    if (t.nodeCrash) {
+      kinds.push(() => this.crash(pick(), l.between(2e6, 12e6)));
+      kinds.push(() => NODES.forEach((n) => this.crash(n, l.between(2e6, 8e6))));
+    }
+    if (t.stateOutage) {
+      kinds.push(() => {
+        if (this.state.out) return;
+        this.state.outage(true);
+        this.time.after(l.between(3e6, 30e6), () => this.state.outage(false));
+      });
+    }
+    if (t.stateCut) {
+      kinds.push(() => {
+        const n = pick();
+        this.state.refusedTo.add(n);
+        this.time.after(l.between(3e6, 30e6), () => this.state.refusedTo.delete(n));
+      });
+    }
+    if (t.netCut) {
+      kinds.push(() => {
+        const key = l.chance(0.5) ? pick() : `${l.chance(0.5) ? 'a' : 'b'}|${pick()}`;
+        this.cuts.add(key);
+        this.time.after(l.between(3e6, 30e6), () => this.cuts.delete(key));
+      });
+    }
+    const machine = () => [...this.workers.values()][l.int(Math.max(1, this.workers.size))];
+    if (t.machineDie) {
+      kinds.push(() => {
+        const w = machine();
+        if (w) this.take(w.place.id, false);
+      });
+      kinds.push(() => {
+        const w = machine();
+        if (!w?.place.spot) return;
+        w.recallAt = this.time.now + l.between(4e6, 15e6);
+        this.time.after(w.recallAt - this.time.now, () => this.take(w.place.id, true));
+      });
+    }
+    if (t.machineHang) {
+      kinds.push(() => {
+        const w = machine();
+        if (!w) return;
+        w.hanging = true;
+        this.time.after(l.between(2e6, 40e6), () => (w.hanging = false));
+      });
+    }
+    if (t.cloudOutage) {
+      kinds.push(() => {
+        this.cloudOut = true;
+        this.time.after(l.between(5e6, 40e6), () => (this.cloudOut = false));
+      });
+    }
+    if (kinds.length > 0) {
+      for (let at = 15e6; at < troubled; at += l.between(5e6, 25e6))
+        this.time.after(at, () => kinds[l.int(kinds.length)]!());
+    }
+    const end = troubled + quiet;
+    for (let at = 0; at < end && this.rules.broken.length === 0; at += 1e6) {
+      this.time.run(at);
+      if (at > troubled + 60e6 && this.unfinished().length === 0) break;
+    }
+  }
+
+  /** Accepted jobs that nobody withdrew and that are not called done. */
+  unfinished(): string[] {
+    return [...this.jobs.values()]
+      .filter((j) => this.rules.state(j.id) === 'accepted' && j.shape !== 'daemon' && !j.broken)
+      .map((j) => j.id);
+  }
+
+  stop(): void {
+    for (const l of this.live.values()) this.time.fork(Fiber.interruptFork(l.fiber));
+    this.time.run(this.time.now + 1e6);
+  }
+}
