--- a/src/fleet/duty.ts
+++ b/src/fleet/duty.ts
@@ -122,6 +122,8 @@
       types: t.types(),
       bins,
       demand,
+      companions: view.companions,
+      surplus: view.surplus,
       refused: (o) => at < (refusedUntil.get(keyOf(o)) ?? 0),
       most: 40,
     });
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -1,7 +1,8 @@
 /** What to rent and what to return: a pure function of demand, machines and time. */
 import { type Micros, seconds } from '../base/micros.js';
 import type { Job } from '../jobs/model.js';
-import { add, fits, type Room, room, times } from '../scheduler/model.js';
+import { add, type Companion, fits, type Room, room, times } from '../scheduler/model.js';
+import { guardsOf, strands } from '../scheduler/state.js';
 import type { MachineType } from './model.js';
 
 export interface Bin {
@@ -34,6 +35,9 @@
   /** Room that is there or on its way: free room after the cycle, and machines still booting. */
   readonly bins: readonly Bin[];
   readonly demand: readonly Demand[];
+  /** As the cycle saw them: room on a GPU machine that it keeps for GPU jobs is no room for the others. */
+  readonly companions: readonly Companion[];
+  readonly surplus: ReadonlySet<string>;
   readonly refused: (o: Offer) => boolean;
   /** Machines that may still be rented in one step. */
   readonly most: number;
@@ -84,15 +88,25 @@
   const out = new Map<string, Rental>();
   const needed = new Set<string>();
   let left = input.most;
-  const allowed = (job: Job, b: Bin): boolean =>
+  const totalOf = (type: string): Room => {
+    const t = types.get(type);
+    return t ? [t.cpus, t.gpus, t.memGb] : [0, 0, 0];
+  };
+  /** A task of this job can go there as the cycle sees it. */
+  const takes = (job: Job, guards: readonly Companion[], need: Room, b: Bin): boolean =>
+    fits(need, b.free) &&
     (job.spec.zone === null || job.spec.zone === b.zone) &&
     (job.spec.types === null || job.spec.types.includes(b.type)) &&
-    (!b.spot || job.spec.spot);
+    (!b.spot || job.spec.spot) &&
+    !strands(guards, job, totalOf(b.type), b.id !== undefined && input.surplus.has(b.id), [
+      b.free[0] - need[0],
+      b.free[1] - need[1],
+      b.free[2] - need[2],
+    ]);
 
   const open = (o: Offer): Bin | null => {
     if (left <= 0) return null;
-    const t = types.get(o.type)!;
-    const bin: Bin = { ...o, free: [t.cpus, t.gpus, t.memGb] };
+    const bin: Bin = { ...o, free: totalOf(o.type) };
     bins.push(bin);
     left--;
     const r = out.get(offerKey(o));
@@ -103,19 +117,20 @@
 
   for (const d of input.demand) {
     const need = room(d.job.spec);
+    const guards = guardsOf(input.companions, d.job);
+    const offers = (count: number): Offer[] =>
+      offersFor(d.job, input.types, count).filter(
+        (o) => !input.refused(o) && takes(d.job, guards, need, { ...o, free: totalOf(o.type) }),
+      );
     let zone: string | null = null;
     if (d.job.spec.oneZone && d.count > 1) {
       // The zone that already has the most room for it, or could get it.
       const rooms = new Map<string, number>();
       for (const b of bins) {
-        if (!fits(need, b.free) || !allowed(d.job, b)) continue;
+        if (!takes(d.job, guards, need, b)) continue;
         rooms.set(b.zone, Math.min(d.count, (rooms.get(b.zone) ?? 0) + times(need, b.free)));
       }
-      const offered = new Set(
-        offersFor(d.job, input.types, d.count)
-          .filter((o) => !input.refused(o))
-          .map((o) => o.zone),
-      );
+      const offered = new Set(offers(d.count).map((o) => o.zone));
       let best = -1;
       for (const z of [...new Set([...rooms.keys(), ...offered])].sort()) {
         const n = rooms.get(z) ?? 0;
@@ -133,16 +148,10 @@
     // A bin that can't take one of these tasks can't take a later one either.
     let at = 0;
     for (let i = 0; i < d.count; i++) {
-      while (
-        at < bins.length &&
-        !(fits(need, bins[at]!.free) && zoneOk(bins[at]!.zone) && allowed(d.job, bins[at]!))
-      )
-        at++;
+      while (at < bins.length && !(zoneOk(bins[at]!.zone) && takes(d.job, guards, need, bins[at]!))) at++;
       let bin = bins[at];
       if (!bin) {
-        const offer = offersFor(d.job, input.types, d.count - i).find(
-          (o) => zoneOk(o.zone) && !input.refused(o),
-        );
+        const offer = offers(d.count - i).find((o) => zoneOk(o.zone));
         if (!offer) break;
         bin = open(offer) ?? undefined;
         if (!bin) break;
--- a/src/node.ts
+++ b/src/node.ts
@@ -13,7 +13,7 @@
 import { TERM, TYPES } from './jobs/keys.js';
 import { Leadership, type Reign } from './leadership/leadership.js';
 import { type PeerPort, Peers } from './leadership/peers.js';
-import { type CycleView, turn, type Turn } from './scheduler/duty.js';
+import { type CycleView, summary, turn, type Turn, upkeep } from './scheduler/duty.js';
 import type { Settings } from './settings/settings.js';
 import { Priority } from './state-store/budget.js';
 import type { StatePort } from './state-store/port.js';
@@ -42,6 +42,8 @@
 /** A turn's computing takes at most about this part of the node's time: reports, leases and users share it. */
 const TURN_PART = 1 / 4;
 const TURN_EVERY_MS = 1000;
+const UPKEEP_GAP_MS = 100;
+const SUMMARY_EVERY_MS = 10_000;
 
 export const makeNode = (settings: Settings, ports: Ports): Node => {
   const { store, clock } = ports;
@@ -125,13 +127,13 @@
         dayTime: ports.dayTime,
         companions: new Map(),
       };
-      const view: CycleView = { result: null, surplus: new Set(), cost: 0 };
+      const view: CycleView = { result: null, surplus: new Set(), companions: [], cost: 0 };
       let gate = yield* Deferred.make<void>();
       desk = {
         book,
         nextTurn: Effect.suspend(() => {
           Queue.unsafeOffer(wake, undefined);
-          return Deferred.await(gate).pipe(Effect.timeoutOption(600), Effect.asVoid);
+          return Deferred.await(gate).pipe(Effect.timeoutOption(1200), Effect.asVoid);
         }),
       };
       const turns = Effect.gen(function* () {
@@ -144,10 +146,23 @@
         yield* sendUrgent(book, ports.workers);
         yield* Effect.sleep(Math.max(TURN_GAP_MS, toMillis(view.cost * (1 / TURN_PART - 1))));
       }).pipe(Effect.forever);
+      const tidy = duty(
+        'upkeep',
+        upkeep(t).pipe(Effect.zipRight(Effect.sleep(UPKEEP_GAP_MS)), Effect.forever),
+      );
+      const report = duty(
+        'summary',
+        Effect.sleep(SUMMARY_EVERY_MS).pipe(
+          Effect.zipRight(Effect.suspend(() => info('cluster', { term: reign.term, ...summary(t, view) }))),
+          Effect.forever,
+        ),
+      );
       const over = Effect.sleep(100).pipe(Effect.repeat({ while: () => t.reigning() }));
       yield* Effect.raceFirst(
         over,
-        Effect.all([duty('turns', turns), fleetDuty(t, view, ports.cloud)], { concurrency: 'unbounded' }),
+        Effect.all([duty('turns', turns), fleetDuty(t, view, ports.cloud), tidy, report], {
+          concurrency: 'unbounded',
+        }),
       );
     }).pipe(
       Effect.ensuring(
--- a/src/scheduler/cycle.ts
+++ b/src/scheduler/cycle.ts
@@ -274,7 +274,7 @@
           spec.zone,
           spec.spot,
           spec.spread || spec.oneZone ? spec.id : '',
-          spec.gpus > 0 ? '' : guardsOf(floor, job).length,
+          spec.gpus > 0 ? '' : guardsOf(input.companions, job).length,
         ].join('|');
     const limited = overLimit(team, size);
     const choice = limited || (key !== '' && hopeless.has(key)) ? null : find(job, team, group.length);
--- a/src/scheduler/duty.ts
+++ b/src/scheduler/duty.ts
@@ -15,15 +15,20 @@
 import { Priority } from '../state-store/budget.js';
 import type { Condition, Outcome, Write } from '../state-store/client.js';
 import type { StatePort } from '../state-store/port.js';
-import type { Book } from '../workers/book.js';
+import { type Book, endsOf } from '../workers/book.js';
 import type { MachineType } from '../fleet/model.js';
 import { schedule } from './cycle.js';
 import type { Companion, CycleResult, Holder, NodeView, QueuedJob, Start } from './model.js';
 import { rankOf } from './rank.js';
 import { surplusOf } from './surplus.js';
 
-/** Records to keep before their jobs are folded. */
-const TAIL = 24;
+/**
+ * Records to keep before their jobs are folded. Most jobs are over before their first record is the oldest
+ * of so many: then only the record is to be deleted, and the job's key is never written again on its account.
+ */
+const TAIL = 160;
+/** Changes in one transaction of upkeep: larger ones would have to wait longer for their part of the budget. */
+const UPKEEP_OPS = 8;
 
 export interface Turn {
   readonly settings: Settings;
@@ -50,10 +55,11 @@
   for (const [machine, on] of t.cache.byMachine) {
     const m = t.book.machines.get(machine);
     for (const [key, p] of on) {
+      // Seen to be over: the record that says so is the one that fills its room again.
+      if (t.book.isEnding(p.job.spec.id, p.task)) continue;
       const leaving =
         p.job.withdrawn ||
         t.book.stopping.has(key) ||
-        t.book.isEnding(p.job.spec.id, p.task) ||
         t.book.isBroken(p.job) ||
         m === undefined ||
         !m.confirmed;
@@ -93,28 +99,24 @@
   return named.length === 0 ? [1] : named.sort((a, b) => a - b);
 };
 
+/** Jobs with tasks to start, once what the book has seen to end is recorded. */
 const queuedOf = (t: Turn, at: Micros): QueuedJob[] => {
   const out: QueuedJob[] = [];
   const day = t.dayTime();
   // What one job's key must be able to hold.
   const most = Math.max(50, Math.floor((t.settings.state.valueBytes * 0.5) / 12));
   for (const job of t.cache.jobs.values()) {
-    if (job.withdrawn || at < t.book.heldUntil(job.spec.id)) continue;
-    if (job.spec.shape === 'gang') {
-      if (job.placed.size > 0 || isComplete(job)) continue;
-      out.push({
-        job,
-        tasks: Array.from({ length: job.spec.tasks }, (_, i) => i),
-        rank: rankOf(job, day, multiplesOf(t, job.spec.jobClass)),
-      });
-      continue;
-    }
-    if (job.done.size + job.placed.size >= job.spec.tasks) continue;
+    if (job.withdrawn || isComplete(job) || at < t.book.heldUntil(job.spec.id)) continue;
+    const ends = t.book.ends.get(job.spec.id);
+    const on = job.placed.size - (ends ? [...job.placed.keys()].filter((i) => endsOf(ends, i)).length : 0);
     const tasks: number[] = [];
-    const room = most - job.placed.size;
+    const room = job.spec.shape === 'gang' ? job.spec.tasks : most - job.placed.size;
+    if (job.spec.shape === 'gang' ? on > 0 : on + job.done.size >= job.spec.tasks) continue;
     for (let i = 0; i < job.spec.tasks && tasks.length < room; i++) {
-      if (!job.done.has(i) && !job.placed.has(i)) tasks.push(i);
+      if (job.done.has(i) || ends?.done.has(i) || (job.placed.has(i) && !ends?.gone.has(i))) continue;
+      tasks.push(i);
     }
+    if (tasks.length === 0) continue;
     out.push({ job, tasks, rank: rankOf(job, day, multiplesOf(t, job.spec.jobClass)) });
   }
   return out;
@@ -148,24 +150,19 @@
 interface Draft {
   readonly jobs: Map<string, JobChange>;
   readonly when: Condition[];
-  readonly finals: { job: Job; final: ReturnType<typeof finalState> }[];
   readonly whole: boolean;
 }
 
 const draftOf = (t: Turn, starts: readonly Start[]): Draft => {
   const jobs = new Map<string, JobChange>();
   const when: Condition[] = [];
-  const finals: Draft['finals'] = [];
   let bytes = 2;
   let whole = true;
   const limit = t.settings.state.valueBytes * 0.85;
   const mostConditions = t.settings.state.txnOps * 4 - 4;
   const put = (id: string, c: JobChange): boolean => {
     const size = JSON.stringify(encodeChange(c)).length + id.length + 6;
-    if (bytes + size > limit) {
-      whole = false;
-      return false;
-    }
+    if (bytes + size > limit) return (whole = false);
     bytes += size;
     jobs.set(id, c);
     return true;
@@ -176,17 +173,20 @@
     const gone = [...e.gone].filter((x) => !e.done.has(x));
     if (job) put(id, { done: [...e.done], gone });
   }
+  // The starts count on the room of every end: with one of these left out, they wait for the next record.
+  if (!whole) return { jobs, when, whole };
   for (const s of starts) {
-    if (when.length >= mostConditions || jobs.has(s.job.spec.id)) {
+    const { id } = s.job.spec;
+    if (when.length >= mostConditions) {
       whole = false;
       continue;
     }
-    if (put(s.job.spec.id, { start: { attempt: s.attempt, on: s.on } })) {
+    if (put(id, { ...jobs.get(id), start: { attempt: s.attempt, on: s.on } })) {
       // Conditional on the job's key: a job withdrawn in this moment is not started.
-      when.push({ key: activeKey(s.job.spec.id), stamp: s.job.stamp });
+      when.push({ key: activeKey(id), stamp: s.job.stamp });
     }
   }
-  return { jobs, when, finals, whole };
+  return { jobs, when, whole };
 };
 
 /**
@@ -198,6 +198,7 @@
   when: readonly Condition[],
   then: readonly Write[],
   probe: string,
+  priority = Priority.Commit,
 ): Effect.Effect<Outcome | null> =>
   Effect.gen(function* () {
     let unsure = false;
@@ -207,7 +208,7 @@
         yield* Effect.sleep(100);
         continue;
       }
-      const r = yield* Effect.either(t.store.transact(when, then, Priority.Commit, 1200));
+      const r = yield* Effect.either(t.store.transact(when, then, priority, 1200));
       if (r._tag === 'Right') {
         // Sent before without an answer, and now its own key stands in the way: the first copy was applied.
         if (!r.right.ok && unsure && r.right.failed.includes(probe) && !r.right.failed.includes(TERM)) {
@@ -256,9 +257,9 @@
     const over: Job[] = [];
     for (const job of t.cache.jobs.values()) {
       if (finalState(job) !== null && !t.book.ends.has(job.spec.id)) over.push(job);
-      if (over.length * 2 + 2 > Math.min(t.settings.state.txnOps, 12)) break;
+      if (over.length * 2 + 2 > Math.min(t.settings.state.txnOps, UPKEEP_OPS)) break;
     }
-    if (over.length === 0) return;
+    if (over.length === 0) return false;
     const finals = over.map((job) => ({ job, id: job.spec.id, stamp: job.stamp, final: finalState(job)! }));
     const when: Condition[] = [{ key: TERM, stamp: t.reign.stamp }];
     const then: Write[] = [];
@@ -266,12 +267,12 @@
       when.push({ key: activeKey(f.id), stamp: f.stamp });
       then.push({ delete: activeKey(f.id) }, { set: finalKey(f.id), value: encodeFinal(f.final) });
     }
-    const outcome = yield* settle(t, when, then, activeKey(finals[0]!.id));
-    if (outcome === null) return;
+    const outcome = yield* settle(t, when, then, activeKey(finals[0]!.id), Priority.Upkeep);
+    if (outcome === null) return true;
     // Applied or not, the watch's view decides what became of each job.
     yield* Effect.ignore(t.feed.refresh);
     if (outcome.ok) for (const f of finals) yield* info('job over', { job: f.id, status: f.final.status });
-    else t.book.dirty = true;
+    return true;
   });
 
 /** Shortens the tail: writes the jobs of the oldest records into their own keys, then deletes the records. */
@@ -291,7 +292,7 @@
         const job = t.cache.jobs.get(id);
         if (job && job.folded < seq && !jobs.has(job)) more.push(job);
       }
-      if (then.length + more.length + 1 > Math.min(ops, 10) && then.length > 0) break;
+      if (then.length + more.length + 1 > Math.min(ops, UPKEEP_OPS) && then.length > 0) break;
       const writes: Write[] = more.map((job) => ({
         set: activeKey(job.spec.id),
         value: encodeJob(job, upTo),
@@ -313,7 +314,7 @@
       }
     }
     if (then.length === 0) return;
-    const outcome = yield* settle(t, when, then, '');
+    const outcome = yield* settle(t, when, then, '', Priority.Upkeep);
     if (outcome !== null) yield* Effect.ignore(t.feed.refresh);
   });
 
@@ -321,11 +322,42 @@
   result: CycleResult | null;
   /** Machines beyond need, see surplus.ts. */
   surplus: ReadonlySet<string>;
+  companions: readonly Companion[];
   /** How long the last turn computed. */
   cost: number;
 }
 
-/** One turn: ends first, so that freed room can be used, then the cycle and its starts. */
+/** The state of the cluster in one line, however many machines there are. */
+export const summary = (t: Turn, view: CycleView): Record<string, string | number> => {
+  const rows = new Map<string, { up: number; coming: number; empty: number }>();
+  for (const m of t.book.machines.values()) {
+    const kind = `${m.type}${m.spot ? '-spot' : ''}`;
+    let r = rows.get(kind);
+    if (!r) rows.set(kind, (r = { up: 0, coming: 0, empty: 0 }));
+    if (!m.reported) r.coming++;
+    else {
+      r.up++;
+      if (!t.cache.byMachine.has(m.id)) r.empty++;
+    }
+  }
+  const classes = new Map<string, { on: number; waiting: number; jobs: number }>();
+  for (const job of t.cache.jobs.values()) {
+    let c = classes.get(job.spec.jobClass);
+    if (!c) classes.set(job.spec.jobClass, (c = { on: 0, waiting: 0, jobs: 0 }));
+    const waiting = job.withdrawn ? 0 : job.spec.tasks - job.done.size - job.placed.size;
+    c.on += job.placed.size;
+    c.waiting += waiting;
+    if (waiting > 0) c.jobs++;
+  }
+  return {
+    machines: [...rows].map(([k, r]) => `${k}:${r.up}+${r.coming}/${r.empty}`).join(','),
+    tasks: [...classes].map(([k, c]) => `${k}:${c.on}+${c.waiting}/${c.jobs}`).join(','),
+    stopping: t.book.stopping.size,
+    turnMs: Math.round(view.cost / 1000),
+  };
+};
+
+/** One turn: the cycle on what is left once the ends seen so far are recorded, and one record for both. */
 export const turn = (t: Turn, view: CycleView) =>
   Effect.gen(function* () {
     const at = t.clock();
@@ -333,8 +365,6 @@
       yield* info('lease lapsed', { term: t.reign.term, machine });
     t.book.dirty = false;
     t.book.recalls(at);
-    if (t.book.ends.size > 0 && !(yield* commit(t, []))) return;
-    if (!t.acting()) return;
     for (const job of t.cache.jobs.values()) {
       if (job.placed.size > 0 && (job.withdrawn || t.book.isBroken(job))) t.book.clearAway(job);
     }
@@ -343,6 +373,7 @@
     const nodes = nodesOf(t, at);
     const holders = holdersOf(t, at);
     view.surplus = surplusOf(nodes, holders, queued);
+    view.companions = companionsOf(t, at);
     const result = schedule({
       now: at,
       teams: t.settings.teams,
@@ -350,7 +381,7 @@
       nodes,
       holders,
       queued,
-      companions: companionsOf(t, at),
+      companions: view.companions,
       surplus: view.surplus,
       avoid: (job) => t.book.avoid(job),
     });
@@ -362,8 +393,13 @@
     }
     if (result.stops.length > 0)
       yield* info('stops for others', { term: t.reign.term, tasks: result.stops.length });
-    if (result.starts.length > 0) yield* commit(t, result.starts);
+    yield* commit(t, result.starts);
+  });
+
+/** Closes jobs that are over and shortens the tail, beside the turns: these must not wait for its writes. */
+export const upkeep = (t: Turn): Effect.Effect<void> =>
+  Effect.gen(function* () {
     if (!t.acting()) return;
-    yield* finish(t);
+    if (yield* finish(t)) return;
     if (t.acting()) yield* fold(t);
   });
--- a/src/scheduler/place.ts
+++ b/src/scheduler/place.ts
@@ -115,7 +115,7 @@
     level: 0 | 1 | 2,
   ): Choice | null => {
     const need = room(job.spec);
-    const guards = guardsOf(floor, job);
+    const guards = guardsOf(floor.companions, job);
     const used = new Map<NodeState, Room>();
     const victims = new Set<Evicted>();
     /** The place on a machine as things stand, or null. */
@@ -127,7 +127,7 @@
       const mine = used.get(n) ?? NONE;
       const left: Room = [n.free[0] - mine[0], n.free[1] - mine[1], n.free[2] - mine[2]];
       const after: Room = [left[0] - need[0], left[1] - need[1], left[2] - need[2]];
-      if (strands(guards, job, n, after)) return null;
+      if (strands(guards, job, n.view.total, n.surplus, after)) return null;
       if (fits(need, left)) return { n, score: score(job, n, after), victims: [], free: true };
       if (level === 0) return null;
       add(left, n.leaving);
--- a/src/scheduler/state.ts
+++ b/src/scheduler/state.ts
@@ -1,7 +1,7 @@
 /** What one cycle works on: rooms, evicted tasks and teams, as they stand at a moment of the refill. */
 import type { Job } from '../jobs/model.js';
 import type { TeamSettings } from '../settings/settings.js';
-import type { Companion, Holder, NodeView, QueuedJob, Room } from './model.js';
+import { type Companion, EPSILON, type Holder, type NodeView, type QueuedJob, type Room } from './model.js';
 
 export interface NodeState {
   readonly view: NodeView;
@@ -75,10 +75,10 @@
 };
 
 /** Companions that wait, or will soon be waited for, before whom `job` must leave a GPU machine its room. */
-export const guardsOf = (floor: Floor, job: Job): Companion[] =>
+export const guardsOf = (companions: readonly Companion[], job: Job): Companion[] =>
   job.spec.gpus > 0
     ? []
-    : floor.companions.filter(
+    : companions.filter(
         (c) =>
           c.urgency >= job.spec.urgency &&
           (c.waiting || job.spec.estimate === 0 || job.spec.estimate > c.patience),
@@ -89,13 +89,20 @@
  * than every GPU job, or short while none of them waits: room whose GPUs nobody can reach any more is lost
  * to the jobs that need them. `left` is what would be free beside it.
  */
-export const strands = (guards: readonly Companion[], job: Job, n: NodeState, left: Room): boolean => {
-  const gpus = n.view.total[1];
+export const strands = (
+  guards: readonly Companion[],
+  job: Job,
+  total: Room,
+  surplus: boolean,
+  left: Room,
+): boolean => {
+  const gpus = total[1];
   if (job.spec.gpus > 0 || gpus === 0) return false;
   // Without any GPU task it is dear and idle: it should become empty and go back, not be kept by CPU tasks.
-  if (job.spec.urgency === 0 && job.spec.types === null && (n.surplus || left[1] >= gpus - 1e-6)) return true;
+  if (job.spec.urgency === 0 && job.spec.types === null && (surplus || left[1] >= gpus - EPSILON))
+    return true;
   for (const c of guards)
-    if (left[0] < left[1] * c.cpusPerGpu - 1e-6 || left[2] < left[1] * c.memPerGpu - 1e-6) return true;
+    if (left[0] < left[1] * c.cpusPerGpu - EPSILON || left[2] < left[1] * c.memPerGpu - EPSILON) return true;
   return false;
 };
 
--- a/src/state-store/budget.ts
+++ b/src/state-store/budget.ts
@@ -9,6 +9,8 @@
   Lease = 0,
   Commit = 1,
   Read = 2,
+  /** Tidying up: whenever nothing else wants the budget. */
+  Upkeep = 3,
 }
 
 interface Waiting {
--- a/src/workers/book.ts
+++ b/src/workers/book.ts
@@ -61,6 +61,8 @@
 
 const ZERO = 0 as Micros;
 
+export const endsOf = (e: Ends, task: number): boolean => e.done.has(task) || e.gone.has(task);
+
 export class Book {
   readonly machines = new Map<string, Machine>();
   private readonly deleted = new Set<string>();
@@ -136,7 +138,7 @@
 
   isEnding(jobId: string, task: number): boolean {
     const e = this.ends.get(jobId);
-    return e !== undefined && (e.done.has(task) || e.gone.has(task));
+    return e !== undefined && endsOf(e, task);
   }
 
   /** A gang that lost a member of its attempt: the others must go before a fresh attempt. */
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -28,7 +28,16 @@
   }) as unknown as Job;
 const plan = (over: Partial<PlanInput>): Rental[] => full(over).rent;
 const full = (over: Partial<PlanInput>) =>
-  rentals({ types: TYPES, bins: [], demand: [], refused: () => false, most: 40, ...over });
+  rentals({
+    types: TYPES,
+    bins: [],
+    demand: [],
+    companions: [],
+    surplus: new Set(),
+    refused: () => false,
+    most: 40,
+    ...over,
+  });
 
 test('rents the cheapest that fits, as many as are short, and asks elsewhere after a refusal', () => {
   assert.deepEqual(plan({ demand: [{ job: job(), count: 5 }] }), [
@@ -49,6 +58,19 @@
   assert.equal(plan({ bins, demand: [{ job: job(), count: 3 }] })[0]?.count, 1);
 });
 
+test('room that the cycle keeps for GPU jobs is no room for others', () => {
+  // Guards against a job that waited beside empty GPU machines, and for which nothing was rented.
+  const bins = [
+    { id: 'vm-1', type: 'g4', zone: 'a', spot: false, free: [8, 4, 32] as [number, number, number] },
+  ];
+  const companions = [
+    { urgency: 1, cpusPerGpu: 2, memPerGpu: 1, waiting: true, patience: 0 as Micros },
+  ] as const;
+  const demand = [{ job: job(), count: 1 }];
+  assert.deepEqual(plan({ bins, demand }), []);
+  assert.deepEqual(plan({ bins, demand, companions }), [{ type: 'c8', zone: 'a', spot: false, count: 1 }]);
+});
+
 test('a gang of one zone gets its machines in one zone', () => {
   const got = plan({
     demand: [{ job: job({ oneZone: true, tasks: 5 }), count: 5 }],
