Renting's bound counts by machine type; one-zone gangs take the tightest of equal zones

The report-render queue (thousands of tasks, earlier in the order) asked in vain for all 40 machines of every step, and GPU jobs had a turn only while every other offer had just been refused. Now the bound of a step counts by type.

Cause, gangs: small gangs went to the first zone by name with fewest displaced, and those of 12 and 16 waited in all. Of the zones that displace least, or up to half as much again, the one with the least room beside it is taken now.

Tried without success, an order by deadline while a class is not crowded.

--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -39,7 +39,7 @@
   readonly companions: readonly Companion[];
   readonly surplus: ReadonlySet<string>;
   readonly refused: (o: Offer) => boolean;
-  /** Machines that may still be rented in one step. */
+  /** Machines of each type that may be rented in one step. */
   readonly most: number;
 }
 export interface Rental extends Offer {
@@ -87,7 +87,8 @@
   const bins: Bin[] = input.bins.map((b) => ({ ...b, free: [...b.free] }));
   const out = new Map<string, Rental>();
   const needed = new Set<string>();
-  let left = input.most;
+  /** By type: work that asks in vain for what is sold out must not keep others from what is not. */
+  const asked = new Map<string, number>();
   const totalOf = (type: string): Room => {
     const t = types.get(type);
     return t ? [t.cpus, t.gpus, t.memGb] : [0, 0, 0];
@@ -105,10 +106,11 @@
     ]);
 
   const open = (o: Offer): Bin | null => {
-    if (left <= 0) return null;
+    const n = asked.get(o.type) ?? 0;
+    if (n >= input.most) return null;
+    asked.set(o.type, n + 1);
     const bin: Bin = { ...o, free: totalOf(o.type) };
     bins.push(bin);
-    left--;
     const r = out.get(offerKey(o));
     if (r) r.count++;
     else out.set(offerKey(o), { ...o, count: 1 });
--- a/src/scheduler/place.ts
+++ b/src/scheduler/place.ts
@@ -5,7 +5,7 @@
  * machines has a few milliseconds.
  */
 import type { Job } from '../jobs/model.js';
-import { add, EPSILON, fits, type Room, room, times } from './model.js';
+import { add, EPSILON, fits, type Room, room } from './model.js';
 import {
   type Choice,
   displacing,
@@ -15,15 +15,19 @@
   guardsOf,
   mayDisplace,
   type NodeState,
+  outranked,
   PROMISED,
+  reach,
   score,
+  slotsIn,
   strands,
   type TeamState,
+  tightestZone,
+  type ZoneChoice,
   zonesAllowed,
 } from './state.js';
 
 const NONE: Room = [0, 0, 0];
-const URGENCIES = 4;
 
 interface Option {
   readonly n: NodeState;
@@ -32,13 +36,6 @@
   readonly free: boolean;
 }
 
-/** Room of one kind on a machine, were all evicted tasks of an urgency under `below` displaced. */
-const reach = (n: NodeState, below: number, i: number): number => {
-  let have = n.free[i]! + n.leaving[i]!;
-  for (let u = 0; u < below; u++) have += n.evictedRoom[u]![i]!;
-  return have;
-};
-
 export const finder = (floor: Floor): Finder => {
   const zones = [...new Set([...floor.nodes.values()].map((n) => n.view.zone))].sort();
 
@@ -62,24 +59,6 @@
     return shunned === null ? list : list.filter((n) => !shunned.has(n.view.id));
   };
 
-  /** Can `count` tasks fit at all, were everything displaced that could be? An upper bound. */
-  const withinReach = (
-    job: Job,
-    need: Room,
-    count: number,
-    below: number,
-    list: readonly NodeState[],
-  ): boolean => {
-    let k = 0;
-    const most: Room = [0, 0, 0];
-    for (const n of list) {
-      for (let i = 0; i < 3; i++) most[i] = reach(n, below, i);
-      k += times(need, most);
-      if (k >= count) return true;
-    }
-    return false;
-  };
-
   const victimsOn = (
     job: Job,
     team: TeamState,
@@ -189,20 +168,19 @@
     const at = zonesAllowed(floor, zones, job);
     if (at.length === 0) return null;
     const need = room(job.spec);
-    // Who is within the team's guarantee may displace work of any urgency.
-    const below = floor.withinGuarantee(team, need) ? URGENCIES : job.spec.urgency;
-    const groups = (job.spec.oneZone ? at.map((z) => [z]) : [at])
+    const below = outranked(floor, job, team, need);
+    const one = job.spec.oneZone;
+    const groups = (one ? at.map((z) => [z]) : [at])
       .map((g) => candidates(job, g))
-      .filter((list) => withinReach(job, need, count, below, list));
+      .map((list) => ({ list, slots: slotsIn(need, below, list, one ? Number.POSITIVE_INFINITY : count) }))
+      .filter((g) => g.slots >= count);
     for (const level of [0, 1, 2] as const) {
-      let best: Choice | null = null;
-      for (const list of groups) {
-        const c = choose(job, team, count, below, list, level);
-        if (c === null) continue;
-        if (best === null || c.victims.size < best.victims.size) best = c;
-        if (best.victims.size === 0) break;
+      const found: ZoneChoice[] = [];
+      for (const { list, slots } of groups) {
+        const choice = choose(job, team, count, below, list, level);
+        if (choice !== null) found.push({ choice, slots });
       }
-      if (best) return best;
+      if (found.length > 0) return tightestZone(found);
     }
     return null;
   };
--- a/src/scheduler/state.ts
+++ b/src/scheduler/state.ts
@@ -1,7 +1,15 @@
 /** What one cycle works on: rooms, evicted tasks and teams, as they stand at a moment of the refill. */
 import type { Job } from '../jobs/model.js';
 import type { TeamSettings } from '../settings/settings.js';
-import { type Companion, EPSILON, type Holder, type NodeView, type QueuedJob, type Room } from './model.js';
+import {
+  type Companion,
+  EPSILON,
+  type Holder,
+  type NodeView,
+  type QueuedJob,
+  type Room,
+  times,
+} from './model.js';
 
 export interface NodeState {
   readonly view: NodeView;
@@ -141,3 +149,47 @@
   if (held && held.size > 0) list = list.filter((z) => held.has(z) && held.size === 1);
   return list;
 };
+
+const URGENCIES = 4;
+/** Evicted tasks of an urgency under this may be displaced for a job, as far as an upper bound goes. */
+export const outranked = (floor: Floor, job: Job, team: TeamState, need: Room): number =>
+  // Who is within the team's guarantee may displace work of any urgency.
+  floor.withinGuarantee(team, need) ? URGENCIES : job.spec.urgency;
+
+/** Room of one kind on a machine, were all evicted tasks of an urgency under `below` displaced. */
+export const reach = (n: NodeState, below: number, i: number): number => {
+  let have = n.free[i]! + n.leaving[i]!;
+  for (let u = 0; u < below; u++) have += n.evictedRoom[u]![i]!;
+  return have;
+};
+
+/** How many tasks fit at all, were everything displaced that could be; looked for only up to `enough`. */
+export const slotsIn = (need: Room, below: number, list: readonly NodeState[], enough: number): number => {
+  let k = 0;
+  const most: Room = [0, 0, 0];
+  for (const n of list) {
+    for (let i = 0; i < 3; i++) most[i] = reach(n, below, i);
+    k += times(need, most);
+    if (k >= enough) break;
+  }
+  return k;
+};
+
+export interface ZoneChoice {
+  readonly choice: Choice;
+  /** Places for such tasks in the zone, the gang's own included. */
+  readonly slots: number;
+}
+/** Zones that displace up to so many times what the best one would count as equal to it. */
+const LENIENCE = 1.5;
+/**
+ * Of the zones that have a place for a gang, displacing little, the one with the least room beside it: so the
+ * zones with the most stay whole for the largest gangs.
+ */
+export const tightestZone = (found: readonly ZoneChoice[]): Choice => {
+  const fewest = Math.min(...found.map((f) => f.choice.victims.size));
+  let best: ZoneChoice | null = null;
+  for (const f of found)
+    if (f.choice.victims.size <= fewest * LENIENCE && (best === null || f.slots < best.slots)) best = f;
+  return best!.choice;
+};
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -71,6 +71,22 @@
   assert.deepEqual(plan({ bins, demand, companions }), [{ type: 'c8', zone: 'a', spot: false, count: 1 }]);
 });
 
+test('a long queue that one type of machine serves leaves others their turn to rent', () => {
+  // Guards against GPU jobs for which nothing was rented for a minute: thousands of small tasks before them
+  // asked in vain for all machines of a step.
+  const demand = [
+    { job: job({ types: ['c8'] }), count: 500 },
+    { job: job({ gpus: 4 }), count: 3 },
+  ];
+  assert.deepEqual(
+    plan({ demand }).map((r) => [r.type, r.count]),
+    [
+      ['c8', 40],
+      ['g4', 3],
+    ],
+  );
+});
+
 test('a gang of one zone gets its machines in one zone', () => {
   const got = plan({
     demand: [{ job: job({ oneZone: true, tasks: 5 }), count: 5 }],
--- a/test/world/plain-place.ts
+++ b/test/world/plain-place.ts
@@ -13,10 +13,14 @@
   guardsOf,
   mayDisplace,
   type NodeState,
+  outranked,
   PROMISED,
   score,
+  slotsIn,
   strands,
   type TeamState,
+  tightestZone,
+  type ZoneChoice,
   zonesAllowed,
 } from '../../src/scheduler/state.js';
 
@@ -26,6 +30,13 @@
   return got;
 };
 
+const allows = (floor: Floor, job: Job, zones: readonly string[], n: NodeState): boolean => {
+  const { types, spot, id } = job.spec;
+  const v = n.view;
+  if (!v.open || !zones.includes(v.zone) || (types !== null && !types.includes(v.type))) return false;
+  return !(v.spot && !spot) && !floor.avoid(id)?.has(v.id);
+};
+
 const choose = (
   floor: Floor,
   job: Job,
@@ -35,7 +46,6 @@
   level: number,
 ): Choice | null => {
   const need = room(job.spec);
-  const { types, spot } = job.spec;
   const taken: NodeState[] = [];
   const victims = new Set<Evicted>();
   let allFree = true;
@@ -43,8 +53,7 @@
     let best: { n: NodeState; score: number; out: Evicted[]; free: boolean } | null = null;
     for (const n of floor.nodes.values()) {
       const v = n.view;
-      if (!v.open || !zones.includes(v.zone) || (types !== null && !types.includes(v.type))) continue;
-      if ((v.spot && !spot) || floor.avoid(job.spec.id)?.has(v.id)) continue;
+      if (!allows(floor, job, zones, n)) continue;
       const there =
         (floor.zonesHeld.get(job)?.get(v.zone) ?? 0) + taken.filter((x) => x.view.zone === v.zone).length;
       if (job.spec.spread && there >= Math.ceil(job.spec.tasks / 2)) continue;
@@ -89,12 +98,16 @@
     const all = [...new Set([...floor.nodes.values()].map((n) => n.view.zone))].sort();
     const zones = zonesAllowed(floor, all, job);
     const groups = job.spec.oneZone ? zones.map((z) => [z]) : [zones];
+    const need = room(job.spec);
     for (const level of [0, 1, 2]) {
-      const found = groups
-        .map((g) => choose(floor, job, team, count, g, level))
-        .filter((c): c is Choice => c !== null);
-      found.sort((a, b) => a.victims.size - b.victims.size);
-      if (found[0]) return found[0];
+      const found: ZoneChoice[] = [];
+      for (const g of groups) {
+        const choice = choose(floor, job, team, count, g, level);
+        const there = [...floor.nodes.values()].filter((n) => allows(floor, job, g, n));
+        const slots = slotsIn(need, outranked(floor, job, team, need), there, Number.POSITIVE_INFINITY);
+        if (choice !== null) found.push({ choice, slots });
+      }
+      if (found.length > 0) return tightestZone(found);
     }
     return null;
   };
