--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -4,28 +4,11 @@
 import { type Micros, seconds } from '../src/base/micros.js';
 import { type Offer, type PlanInput, type Rental, rentals, returns } from '../src/fleet/plan.js';
 import type { Job, JobSpec } from '../src/jobs/model.js';
+import { job as anyJob } from './world/job.js';
 import { TYPES } from './world/world.js';
 
 const job = (over: Partial<JobSpec> = {}): Job =>
-  ({
-    spec: {
-      id: 'job-1',
-      shape: 'array',
-      urgency: 1,
-      tasks: 1,
-      cpus: 4,
-      gpus: 0,
-      memGb: 1,
-      types: null,
-      zone: null,
-      oneZone: false,
-      spread: false,
-      spot: false,
-      checkpoint: 0,
-      ...over,
-    },
-    placed: new Map(),
-  }) as unknown as Job;
+  anyJob('job-1', { urgency: 1, cpus: 4, spot: false, ...over });
 const plan = (over: Partial<PlanInput>): Rental[] => full(over).rent;
 const full = (over: Partial<PlanInput>) =>
   rentals({
--- a/test/scheduler.test.ts
+++ b/test/scheduler.test.ts
@@ -7,43 +7,11 @@
 import { schedule } from '../src/scheduler/cycle.js';
 import type { CycleInput, CycleResult, Holder, NodeView, QueuedJob } from '../src/scheduler/model.js';
 import { surplusOf } from '../src/scheduler/surplus.js';
+import { job } from './world/job.js';
 import { plainFinder } from './world/plain-place.js';
 import { rankOf } from '../src/scheduler/rank.js';
 
 const ZERO = 0 as Micros;
-export const job = (id: string, over: Partial<JobSpec> = {}): Job => ({
-  spec: {
-    id,
-    jobClass: 'x',
-    team: 'red',
-    shape: 'array',
-    urgency: 0,
-    tasks: 1,
-    cpus: 1,
-    gpus: 0,
-    memGb: 1,
-    image: 'i',
-    imageGb: 1,
-    types: null,
-    zone: null,
-    oneZone: false,
-    spread: false,
-    spot: true,
-    estimate: ZERO,
-    checkpoint: ZERO,
-    save: ZERO,
-    deadline: null,
-    submitted: ZERO,
-    ...over,
-  },
-  withdrawn: false,
-  attempt: 0,
-  done: new Set(),
-  placed: new Map(),
-  stamp: 1,
-  folded: 0,
-  touched: 0,
-});
 const node = (id: string, over: Partial<NodeView> = {}): NodeView => ({
   id,
   type: 'c8',
--- /dev/null
+++ b/test/world/job.ts
@@ -0,0 +1,38 @@
+/** A job as the store has it, with nothing started; tests say what differs. */
+import type { Micros } from '../../src/base/micros.js';
+import type { Job, JobSpec } from '../../src/jobs/model.js';
+
+const ZERO = 0 as Micros;
+export const job = (id: string, over: Partial<JobSpec> = {}): Job => ({
+  spec: {
+    id,
+    jobClass: 'x',
+    team: 'red',
+    shape: 'array',
+    urgency: 0,
+    tasks: 1,
+    cpus: 1,
+    gpus: 0,
+    memGb: 1,
+    image: 'i',
+    imageGb: 1,
+    types: null,
+    zone: null,
+    oneZone: false,
+    spread: false,
+    spot: true,
+    estimate: ZERO,
+    checkpoint: ZERO,
+    save: ZERO,
+    deadline: null,
+    submitted: ZERO,
+    ...over,
+  },
+  withdrawn: false,
+  attempt: 0,
+  done: new Set(),
+  placed: new Map(),
+  stamp: 1,
+  folded: 0,
+  touched: 0,
+});
