--- a/src/base/http-server.ts
+++ b/src/base/http-server.ts
@@ -9,7 +9,6 @@
 export interface Incoming {
   readonly method: string;
   readonly path: string;
-  readonly query: URLSearchParams;
   /** null: the body was larger than a request may be. */
   readonly body: Buffer | null;
 }
@@ -20,6 +19,12 @@
 }
 export type Handler = (request: Incoming) => Effect.Effect<Answer>;
 
+interface Pending {
+  readonly req: http.IncomingMessage;
+  readonly res: http.ServerResponse;
+  readonly body: Buffer | null;
+}
+
 const BODY_LIMIT = 64 * 1024;
 
 export const json = (status: number, value: unknown, headers?: Record<string, string>): Answer => ({
@@ -30,16 +35,18 @@
 export const retryLater = (reason: string, afterS = 1): Answer =>
   json(503, { error: reason }, { 'Retry-After': String(afterS) });
 
-const readBody = (req: http.IncomingMessage): Effect.Effect<Buffer | null> =>
-  Effect.async<Buffer | null>((resume) => {
-    const parts: Buffer[] = [];
-    let size = 0;
-    req.on('data', (part: Buffer) => {
-      size += part.length;
-      if (size <= BODY_LIMIT) parts.push(part);
-    });
-    req.on('end', () => resume(Effect.succeed(size > BODY_LIMIT ? null : Buffer.concat(parts))));
+/** Collects a request's body; null: it is too large. Done by events, so that a fiber takes up whole requests only. */
+const readBody = (req: http.IncomingMessage, whole: (body: Buffer | null) => void): void => {
+  const parts: Buffer[] = [];
+  let size = 0;
+  req.on('data', (part: Buffer) => {
+    size += part.length;
+    if (size <= BODY_LIMIT) parts.push(part);
   });
+  req.on('end', () =>
+    whole(size > BODY_LIMIT ? null : parts.length === 1 ? parts[0]! : Buffer.concat(parts)),
+  );
+};
 
 const write = (res: http.ServerResponse, answer: Answer): void => {
   const body = typeof answer.body === 'string' ? Buffer.from(answer.body) : answer.body;
@@ -60,21 +67,19 @@
     const runtime = yield* Effect.runtime<never>();
     const fork = Runtime.runFork(runtime);
     const fibers = new Set<Fiber.RuntimeFiber<unknown, unknown>>();
-    const queues = new WeakMap<object, Queue.Queue<[http.IncomingMessage, http.ServerResponse]>>();
+    const queues = new WeakMap<object, Queue.Queue<Pending>>();
 
-    const one = (req: http.IncomingMessage, res: http.ServerResponse) =>
-      Effect.gen(function* () {
-        const body = yield* readBody(req);
+    const one = ({ req, res, body }: Pending): Effect.Effect<void> =>
+      Effect.suspend(() => {
         const url = req.url ?? '/';
         const mark = url.indexOf('?');
-        const answer = yield* handler({
+        return handler({
           method: req.method ?? 'GET',
           path: mark < 0 ? url : url.slice(0, mark),
-          query: new URLSearchParams(mark < 0 ? '' : url.slice(mark + 1)),
           body,
         });
-        write(res, answer);
       }).pipe(
+        Effect.map((answer) => write(res, answer)),
         Effect.catchAllCause((cause) =>
           Cause.isInterruptedOnly(cause)
             ? Effect.interrupt
@@ -95,11 +100,9 @@
     server.timeout = 0;
     server.maxConnections = maxConnections;
     server.on('connection', (socket) => {
-      const queue = Effect.runSync(Queue.unbounded<[http.IncomingMessage, http.ServerResponse]>());
+      const queue = Effect.runSync(Queue.unbounded<Pending>());
       queues.set(socket, queue);
-      const fiber = fork(
-        Effect.forever(Queue.take(queue).pipe(Effect.flatMap(([req, res]) => one(req, res)))),
-      );
+      const fiber = fork(Effect.forever(Effect.flatMap(Queue.take(queue), one)));
       fibers.add(fiber);
       socket.on('error', () => socket.destroy());
       socket.on('close', () => {
@@ -110,7 +113,7 @@
     server.on('request', (req, res) => {
       res.on('error', () => undefined);
       const queue = queues.get(req.socket);
-      if (queue) Queue.unsafeOffer(queue, [req, res]);
+      if (queue) readBody(req, (body) => Queue.unsafeOffer(queue, { req, res, body }));
     });
     server.on('clientError', (_e, socket) => {
       if (socket.writable)
