--- a/src/api/handlers.ts
+++ b/src/api/handlers.ts
@@ -12,7 +12,7 @@
 import { decodeFinal, encodeJob, JOB_ID, readSubmission, STATUS_WORDS } from '../jobs/codec.js';
 import type { Feed } from '../jobs/feed.js';
 import { activeKey, finalKey } from '../jobs/keys.js';
-import type { FinalState, Job, JobSpec } from '../jobs/model.js';
+import { type FinalState, isComplete, type Job, type JobSpec } from '../jobs/model.js';
 import type { Settings } from '../settings/settings.js';
 import { Priority } from '../state-store/budget.js';
 import type { StateFailure } from '../state-store/client.js';
@@ -44,6 +44,8 @@
   const id = job.spec.id;
   if (job.withdrawn)
     return json(200, { id, status: STATUS_WORDS.cancelled, done: job.done.size, running: job.placed.size });
+  // Its last end stands in a committed record; moving it to its final key is only tidying up.
+  if (isComplete(job)) return finalAnswer(id, { status: 'done', tasks: job.spec.tasks });
   return json(200, {
     id,
     status: job.placed.size > 0 ? STATUS_WORDS.running : STATUS_WORDS.queued,
@@ -140,6 +142,7 @@
         attempt: 0,
         done: new Set(),
         placed: new Map(),
+        failedOn: new Set(),
         stamp: 0,
         folded: 0,
         touched: 0,
@@ -185,7 +188,8 @@
       const began = d.clock();
       for (;;) {
         const found = yield* lookUp(id);
-        if (found === null || 'final' in found || found.job.withdrawn) return say(id, found);
+        if (found === null || 'final' in found || found.job.withdrawn || isComplete(found.job))
+          return say(id, found);
         const { job } = found;
         const r = yield* Effect.either(
           d.store.transact(
@@ -196,7 +200,8 @@
             1200,
           ),
         );
-        if (r._tag === 'Right' && r.right.ok) return json(200, { id, status: STATUS_WORDS.cancelled });
+        // A record may have completed the job in between: whichever was committed first holds (jobs/cache.ts).
+        if (r._tag === 'Right' && r.right.ok) return say(id, yield* lookUp(id));
         if (d.clock() - began > GIVE_UP) return retryLater('busy');
         if (r._tag === 'Left' && r.left._tag === 'Refused' && r.left.status === 503)
           return yield* unavailable(r.left);
--- a/src/fleet/cloud.ts
+++ b/src/fleet/cloud.ts
@@ -24,9 +24,12 @@
   types(): Effect.Effect<readonly MachineType[], CloudFailure>;
   list(): Effect.Effect<readonly ListedMachine[], CloudFailure>;
   /** The machines rented; null: no capacity. */
-  hire(h: Hire): Effect.Effect<readonly string[] | null, CloudFailure>;
-  remove(ids: readonly string[]): Effect.Effect<void, CloudFailure>;
+  hire(h: Hire, still: Still): Effect.Effect<readonly string[] | null, CloudFailure>;
+  remove(ids: readonly string[], still: Still): Effect.Effect<void, CloudFailure>;
 }
+/** Whether the caller may still act; asked when the call has waited for its part of the rate and is about to be sent. */
+export type Still = () => boolean;
+const ALWAYS: Still = () => true;
 
 const Types = Schema.Struct({
   hostsKinds: Schema.Array(
@@ -61,15 +64,29 @@
     zones: k.rooms,
   }));
 
-interface WireHost {
-  id: string;
-  addr: string;
-  hostKind: string;
-  room: string;
-  borrowed: boolean;
-  status: ListedMachine['status'];
-  heldS: number;
-}
+const Hosts = Schema.Struct({
+  hosts: Schema.Array(
+    Schema.Struct({
+      id: Schema.String,
+      addr: Schema.optionalWith(Schema.String, { default: () => '', nullable: true }),
+      hostKind: Schema.String,
+      room: Schema.String,
+      borrowed: Schema.optionalWith(Schema.Boolean, { default: () => false, nullable: true }),
+      status: Schema.Literal('booting', 'running', 'failed'),
+      heldS: Schema.Number,
+    }),
+  ),
+  more: Schema.optionalWith(Schema.Boolean, { default: () => false, nullable: true }),
+});
+const decodeList = Schema.decodeUnknownSync(Hosts);
+const decodeHired = Schema.decodeUnknownSync(Schema.Struct({ hosts: Schema.Array(Schema.String) }));
+
+/** An answer that can't be read is a failure like any other: no duty ends of it. */
+const read = <A>(r: Reply, decode: (value: unknown) => A): Effect.Effect<A, CloudRefused> =>
+  Effect.try({
+    try: () => decode(JSON.parse(r.body.toString())),
+    catch: (e) => new CloudRefused({ status: r.status, reason: `unreadable: ${String(e).slice(0, 200)}` }),
+  });
 
 export class Cloud implements CloudPort {
   private readonly client: HttpClient;
@@ -82,15 +99,7 @@
   }
 
   types(): Effect.Effect<readonly MachineType[], CloudFailure> {
-    return this.call('GET', '/flavors', null, Priority.Read).pipe(
-      Effect.flatMap((r) =>
-        Effect.try({
-          try: () => readTypes(JSON.parse(r.body.toString())),
-          catch: (e) =>
-            new CloudRefused({ status: 200, reason: `unreadable types: ${String(e).slice(0, 200)}` }),
-        }),
-      ),
-    );
+    return this.call('GET', '/flavors', null, Priority.Read).pipe(Effect.flatMap((r) => read(r, readTypes)));
   }
 
   list(): Effect.Effect<readonly ListedMachine[], CloudFailure> {
@@ -104,8 +113,8 @@
         null,
         Priority.Read,
       ).pipe(
-        Effect.flatMap((r) => {
-          const v = JSON.parse(r.body.toString()) as { hosts: WireHost[]; more?: boolean };
+        Effect.flatMap((r) => read(r, decodeList)),
+        Effect.flatMap((v) => {
           for (const h of v.hosts) {
             sofar.push({
               id: h.id,
@@ -118,13 +127,13 @@
             });
           }
           const last = v.hosts[v.hosts.length - 1];
-          return v.more === true && last ? page(last.id, sofar) : Effect.succeed(sofar);
+          return v.more && last ? page(last.id, sofar) : Effect.succeed(sofar);
         }),
       );
     return page(null, []);
   }
 
-  hire(h: Hire): Effect.Effect<readonly string[] | null, CloudFailure> {
+  hire(h: Hire, still: Still): Effect.Effect<readonly string[] | null, CloudFailure> {
     const body = JSON.stringify({
       hire: h.name,
       hostKind: h.type,
@@ -132,18 +141,16 @@
       borrowed: h.spot,
       howMany: h.count,
     });
-    return this.call('POST', '/hosts', body, Priority.Commit).pipe(
-      Effect.map(
-        (r) => (JSON.parse(r.body.toString()) as { hosts: string[] }).hosts as readonly string[] | null,
-      ),
+    return this.call('POST', '/hosts', body, Priority.Commit, still).pipe(
+      Effect.flatMap((r) => read(r, (v) => decodeHired(v).hosts as readonly string[] | null)),
       Effect.catchTag('CloudRefused', (e) =>
         e.status === 503 && e.reason.includes('no capacity') ? Effect.succeed(null) : Effect.fail(e),
       ),
     );
   }
 
-  remove(ids: readonly string[]): Effect.Effect<void, CloudFailure> {
-    return this.call('POST', '/hosts/delete', JSON.stringify({ hosts: ids }), Priority.Commit).pipe(
+  remove(ids: readonly string[], still: Still): Effect.Effect<void, CloudFailure> {
+    return this.call('POST', '/hosts/delete', JSON.stringify({ hosts: ids }), Priority.Commit, still).pipe(
       Effect.asVoid,
     );
   }
@@ -153,9 +160,16 @@
     path: string,
     body: string | null,
     priority: Priority,
+    still: Still = ALWAYS,
   ): Effect.Effect<Reply, CloudFailure> {
     return this.budget.take(priority, 1).pipe(
-      Effect.zipRight(this.client.request(method, path, body, 4000)),
+      Effect.zipRight(
+        Effect.suspend((): Effect.Effect<Reply, CloudFailure> =>
+          still()
+            ? this.client.request(method, path, body, 4000)
+            : new CloudRefused({ status: 0, reason: 'no longer entitled' }),
+        ),
+      ),
       Effect.flatMap((r) =>
         r.status === 200
           ? Effect.succeed(r)
--- a/src/fleet/duty.ts
+++ b/src/fleet/duty.ts
@@ -4,6 +4,8 @@
 import { info } from '../base/log.js';
 import { type Micros, seconds } from '../base/micros.js';
 import type { CycleView, Turn } from '../scheduler/duty.js';
+import type { Machine } from '../workers/book.js';
+import { type Awaited, Boots, countsFor, isOverdue, roomOnTheWay } from './boots.js';
 import type { CloudPort } from './cloud.js';
 import { type Bin, type Demand, type Idle, type Offer, rentals, returns } from './plan.js';
 
@@ -11,10 +13,29 @@
 const REFUSED_FOR = seconds(12);
 const IDLE = seconds(45);
 const IDLE_SURPLUS = seconds(12);
+/** A new leader hears of machines by and by: it gives none up before this. */
+const SETTLED = seconds(30);
+/** An overdue machine that nothing has counted on for this long is returned. */
+const UNNEEDED = seconds(15);
+const ANY_BOOT = seconds(30);
+/** The list may be twice its lag old, and older than the one before. */
+const LIST_MARGIN = seconds(10);
 
 export const fleetDuty = (t: Turn, view: CycleView, cloud: CloudPort) => {
   const refusedUntil = new Map<string, Micros>();
   const keyOf = (o: Offer): string => `${o.type}|${o.zone}|${o.spot}`;
+  /** Boot times are learnt by type and zone, whatever the price. */
+  const bootKey = (o: { readonly type: string; readonly zone: string }): string => `${o.type}|${o.zone}`;
+  const boots = new Boots();
+  /** Machines seen before they reported, in this term: when they come, their boot time is known. */
+  const awaited = new Set<string>();
+  const overdue = new Set<string>();
+  /** Overdue machines that no work counts on, and since when. */
+  const unneeded = new Map<string, Micros>();
+  /** Rented or removed, and not shown so by the list yet. */
+  const rented = new Map<string, Micros>();
+  const removed = new Map<string, Micros>();
+  const bootOf = (type: string): Micros => t.types().find((k) => k.name === type)?.boot ?? ANY_BOOT;
   let hires = 0;
   let needed: ReadonlySet<string> = new Set();
   let listedOnce = false;
@@ -26,6 +47,52 @@
     const machines = yield* cloud.list();
     listedOnce = true;
     t.book.listing(machines, t.clock());
+    for (const l of machines) rented.delete(l.id);
+  });
+
+  const awaitedOf = (m: Machine, at: Micros): Awaited => ({
+    age: (at - m.since) as Micros,
+    boot: bootOf(m.type),
+    runningFor: m.reported
+      ? ((at - m.lastAnswered) as Micros)
+      : m.runningSince === null
+        ? null
+        : ((at - m.runningSince) as Micros),
+  });
+
+  /** Follows machines from their rental to their first report. */
+  const watch = Effect.gen(function* () {
+    const at = t.clock();
+    for (const m of t.book.machines.values()) {
+      if (m.reported) {
+        if (!awaited.delete(m.id)) continue;
+        boots.came(bootKey(m), (at - m.since) as Micros, at);
+        if (overdue.has(m.id))
+          yield* info('overdue machine came', { machine: m.id, afterS: Math.round((at - m.since) / 1e6) });
+      } else {
+        awaited.add(m.id);
+        if (!overdue.has(m.id) && isOverdue(awaitedOf(m, at))) {
+          overdue.add(m.id);
+          yield* info('machine overdue', {
+            term: t.reign.term,
+            machine: m.id,
+            type: m.type,
+            zone: m.zone,
+            ageS: Math.round((at - m.since) / 1e6),
+            listed: m.listed,
+          });
+        }
+      }
+    }
+    const old = at - 3 * t.settings.cloud.listLag - LIST_MARGIN;
+    for (const known of [rented, removed]) for (const [id, since] of known) if (since < old) known.delete(id);
+    t.fleet.news = {
+      rented: [...rented].flatMap(([id, since]) => {
+        const m = t.book.machines.get(id);
+        return m ? [{ id, type: m.type, zone: m.zone, spot: m.spot, age: at - since }] : [];
+      }),
+      removed: [...removed.keys()],
+    };
   });
 
   const remove = (candidates: readonly string[], reason: string, onlyEmpty = false) =>
@@ -42,13 +109,17 @@
         yield* Effect.sleep(400);
         for (const id of closed) {
           const m = t.book.machines.get(id);
-          if (m && holds(id) && m.closed === 'idle') m.closed = null;
+          if (m && holds(id) && m.closed === reason) m.closed = null;
         }
       }
       const ids = closed.filter((id) => !(onlyEmpty && holds(id)));
       if (ids.length === 0 || !t.acting()) return;
-      yield* cloud.remove(ids);
-      for (const id of ids) t.book.removed(id);
+      yield* cloud.remove(ids, () => t.acting() && !(onlyEmpty && ids.some(holds)));
+      for (const id of ids) {
+        t.book.removed(id);
+        removed.set(id, t.clock());
+        for (const known of [awaited, overdue, unneeded, rented]) known.delete(id);
+      }
       yield* info('machines returned', { term: t.reign.term, count: ids.length, reason, machine: ids[0]! });
     });
 
@@ -58,17 +129,17 @@
     const dead: string[] = [];
     const stuck: string[] = [];
     const idle: Idle[] = [];
-    const boot = new Map(t.types().map((k) => [k.name, k.boot]));
+    const surplus: string[] = [];
     for (const m of t.book.machines.values()) {
       const on = t.cache.byMachine.get(m.id)?.size ?? 0;
       if (m.listed === 'failed') failed.push(m.id);
       else if (m.reported && at > t.book.leaseEnd(m) + 40e6) dead.push(m.id);
-      else if (
-        !m.reported &&
-        at - m.since > Math.max(90e6, 5 * (boot.get(m.type) ?? 30e6)) &&
-        at - t.reign.began > 30e6
-      ) {
-        stuck.push(m.id);
+      else if (!m.reported) {
+        if (at - m.since > boots.givenUpAfter(bootKey(m), bootOf(m.type), at) && at - t.reign.began > SETTLED)
+          stuck.push(m.id);
+        else if (!overdue.has(m.id) || needed.has(m.id) || on > 0) unneeded.delete(m.id);
+        else if (!unneeded.has(m.id)) unneeded.set(m.id, at);
+        else if (at - unneeded.get(m.id)! > UNNEEDED) surplus.push(m.id);
       } else if (
         m.emptySince !== null &&
         on === 0 &&
@@ -88,9 +159,14 @@
     yield* remove(failed, 'failed');
     yield* remove(dead, 'silent');
     yield* remove(stuck, 'never booted');
+    yield* remove(surplus, 'overdue and not needed', true);
     // Only with a view of the demand from a recent cycle, and never while a start may be on its way.
     const back = returns(idle, (m) =>
-      t.book.machines.get(m.id)?.closed ? (0 as Micros) : view.surplus.has(m.id) ? IDLE_SURPLUS : IDLE,
+      t.book.machines.get(m.id)?.closed
+        ? (0 as Micros)
+        : view.surplus.has(m.id) || overdue.has(m.id)
+          ? IDLE_SURPLUS
+          : IDLE,
     );
     yield* remove(back, 'idle', true);
   });
@@ -104,6 +180,8 @@
     const bins: Bin[] = [];
     const types = new Map(t.types().map((k) => [k.name, k]));
     let silent = false;
+    /** On their way, by what makes them alike. */
+    const coming = new Map<string, { m: Machine; a: Awaited }[]>();
     for (const m of t.book.machines.values()) {
       const k = types.get(m.type);
       if (!k || m.closed !== null || m.listed === 'failed' || m.recallAt !== null) continue;
@@ -111,9 +189,22 @@
       if (t.book.open(m, at) && free) bins.push({ id: m.id, type: m.type, zone: m.zone, spot: m.spot, free });
       else if (!m.reported || !m.confirmed) {
         if (m.listed === 'running') silent = true;
-        bins.push({ type: m.type, zone: m.zone, spot: m.spot, free: [k.cpus, k.gpus, k.memGb] });
+        const alike = coming.get(keyOf(m));
+        const one = { m, a: awaitedOf(m, at) };
+        if (alike) alike.push(one);
+        else coming.set(keyOf(m), [one]);
       }
     }
+    const overdueOf = new Map<string, number>();
+    for (const list of coming.values()) {
+      list.sort((x, y) => countsFor(y.a) - countsFor(x.a));
+      const { type, zone, spot } = list[0]!.m;
+      const k = types.get(type)!;
+      for (const { m } of list.slice(0, roomOnTheWay(list.map((x) => x.a))))
+        bins.push({ id: m.id, type, zone, spot, free: [k.cpus, k.gpus, k.memGb] });
+      const late = list.filter((x) => isOverdue(x.a)).length;
+      overdueOf.set(bootKey({ type, zone }), (overdueOf.get(bootKey({ type, zone })) ?? 0) + late);
+    }
     if (silent && at - t.reign.began < 10e6) return;
     const demand: Demand[] = result.unplaced
       .filter((u) => !u.job.withdrawn)
@@ -125,6 +216,7 @@
       companions: view.companions,
       surplus: view.surplus,
       refused: (o) => at < (refusedUntil.get(keyOf(o)) ?? 0),
+      late: (o) => boots.late(bootKey(o), bootOf(o.type), overdueOf.get(bootKey(o)) ?? 0, at),
       most: 40,
     });
     needed = plan.needed;
@@ -132,13 +224,10 @@
       if (!t.acting()) return;
       // A name is never used again: it carries the term, which only one node ever holds.
       const name = `h-${t.reign.term}-${++hires}`;
-      const got = yield* cloud.hire({
-        name,
-        type: w.type,
-        zone: w.zone,
-        spot: w.spot,
-        count: Math.min(50, w.count),
-      });
+      const got = yield* cloud.hire(
+        { name, type: w.type, zone: w.zone, spot: w.spot, count: Math.min(50, w.count) },
+        t.acting,
+      );
       if (got === null || got.length < w.count)
         refusedUntil.set(keyOf(w), (t.clock() + REFUSED_FOR) as Micros);
       if (got !== null) {
@@ -146,6 +235,7 @@
         for (const id of got) {
           const m = t.book.machine(id, since, { addr: '', type: w.type, zone: w.zone, spot: w.spot });
           m.listed ??= 'booting';
+          rented.set(id, since);
         }
         yield* info('machines rented', {
           term: t.reign.term,
@@ -164,6 +254,7 @@
     Effect.gen(function* () {
       if (!t.acting()) return;
       if (t.clock() - lastList >= listEvery) yield* list;
+      yield* watch;
       yield* clean;
       yield* rent;
     }).pipe(
--- a/src/fleet/model.ts
+++ b/src/fleet/model.ts
@@ -13,6 +13,18 @@
   readonly zones: readonly string[];
 }
 
+/** What a leader knows of the cloud and its list does not show yet; a new leader is warm with it. */
+export interface FleetNews {
+  readonly rented: readonly {
+    readonly id: string;
+    readonly type: string;
+    readonly zone: string;
+    readonly spot: boolean;
+    readonly age: number;
+  }[];
+  readonly removed: readonly string[];
+}
+
 export interface ListedMachine {
   readonly id: string;
   readonly addr: string;
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -39,6 +39,8 @@
   readonly companions: readonly Companion[];
   readonly surplus: ReadonlySet<string>;
   readonly refused: (o: Offer) => boolean;
+  /** Machines of this offer come up late at present: the last choice. */
+  readonly late: (o: Offer) => boolean;
   /** Machines of each type that may be rented in one step. */
   readonly most: number;
 }
@@ -121,9 +123,9 @@
     const need = room(d.job.spec);
     const guards = guardsOf(input.companions, d.job);
     const offers = (count: number): Offer[] =>
-      offersFor(d.job, input.types, count).filter(
-        (o) => !input.refused(o) && takes(d.job, guards, need, { ...o, free: totalOf(o.type) }),
-      );
+      offersFor(d.job, input.types, count)
+        .filter((o) => !input.refused(o) && takes(d.job, guards, need, { ...o, free: totalOf(o.type) }))
+        .sort((a, b) => Number(input.late(a)) - Number(input.late(b)));
     let zone: string | null = null;
     if (d.job.spec.oneZone && d.count > 1) {
       // The zone that already has the most room for it, or could get it.
--- a/src/jobs/cache.ts
+++ b/src/jobs/cache.ts
@@ -9,7 +9,9 @@
   applyChange,
   type CycleRecord,
   type FinalState,
+  isComplete,
   type Job,
+  type JobChange,
   type Placement,
   taskKey,
 } from './model.js';
@@ -47,7 +49,7 @@
     this.byMachine.clear();
     this.leader = null;
     this.lastSeq = 0;
-    for (const e of entries) if (e.key.startsWith(RECORD)) this.setRecord(e.key, e.value);
+    for (const e of entries) if (e.key.startsWith(RECORD)) this.setRecord(e.key, e.value, e.stamp);
     for (const e of entries) if (!e.key.startsWith(RECORD)) this.apply({ ...e });
     this.revision = revision;
     this.version++;
@@ -66,7 +68,7 @@
       else this.setJob(id, c.value, c.stamp);
     } else if (c.key.startsWith(RECORD)) {
       if (c.value === undefined) this.tail.delete(Number(c.key.slice(RECORD.length)));
-      else this.setRecord(c.key, c.value);
+      else this.setRecord(c.key, c.value, c.stamp);
     } else if (c.key.startsWith(FINAL)) {
       if (c.value !== undefined) this.rememberFinal(c.key.slice(FINAL.length), decodeFinal(c.value));
     } else if (c.key === LEADER) {
@@ -98,7 +100,7 @@
     for (const r of this.tail.values()) {
       if (r.seq <= job.folded) continue;
       const change = r.jobs.get(id);
-      if (change) applyChange(job, change, r.seq);
+      if (change) this.undergo(job, change, r);
     }
     this.lastSeq = Math.max(this.lastSeq, job.folded);
     this.jobs.set(id, job);
@@ -114,10 +116,10 @@
     this.changed();
   }
 
-  private setRecord(key: string, value: unknown): void {
+  private setRecord(key: string, value: unknown, stamp: number): void {
     const seq = Number(key.slice(RECORD.length));
     if (this.tail.has(seq)) return;
-    this.addRecord(decodeRecord(seq, value));
+    this.addRecord(decodeRecord(seq, value, stamp));
   }
 
   /** Also called by the leader as soon as its own record is committed. */
@@ -130,7 +132,7 @@
       if (!job || job.folded >= record.seq) continue;
       this.unindexTasks(job, change.done);
       this.unindexTasks(job, change.gone);
-      applyChange(job, change, record.seq);
+      this.undergo(job, change, record);
       if (change.start) {
         for (const tasks of change.start.on.values())
           for (const t of tasks) this.indexOne(job, job.placed.get(t)!);
@@ -138,6 +140,12 @@
     }
   }
 
+  private undergo(job: Job, change: JobChange, r: CycleRecord): void {
+    applyChange(job, change, r.seq);
+    // It completed the job before the withdrawal in the job's key was committed: users may have been told `done`.
+    if (job.withdrawn && r.stamp < job.stamp && isComplete(job)) job.withdrawn = false;
+  }
+
   private index(job: Job): void {
     for (const p of job.placed.values()) this.indexOne(job, p);
   }
--- a/src/jobs/codec.ts
+++ b/src/jobs/codec.ts
@@ -106,6 +106,8 @@
   readonly d?: string;
   /** machine -> [attempt, tasks][] */
   readonly p?: Readonly<Record<string, readonly (readonly [number, string])[]>>;
+  /** Machines it failed on. */
+  readonly x?: readonly string[];
 }
 const bit = (b: boolean): 0 | 1 => (b ? 1 : 0);
 
@@ -142,6 +144,7 @@
     ...(job.attempt > 0 ? { a: job.attempt } : {}),
     ...(job.done.size > 0 ? { d: encodeRanges(job.done) } : {}),
     ...(groups.size > 0 ? { p } : {}),
+    ...(job.failedOn.size > 0 ? { x: [...job.failedOn] } : {}),
   };
 };
 
@@ -181,6 +184,7 @@
     attempt: v.a ?? 0,
     done: new Set(decodeRanges(v.d ?? '')),
     placed,
+    failedOn: new Set(v.x ?? []),
     stamp,
     folded: v.f ?? 0,
     touched: v.f ?? 0,
@@ -193,11 +197,12 @@
   return { status: s === 1 ? 'done' : 'cancelled', tasks };
 };
 
-type StoredChange = { d?: string; g?: string; a?: number; p?: Record<string, string> };
+type StoredChange = { d?: string; g?: string; x?: string; a?: number; p?: Record<string, string> };
 
 export const encodeChange = (c: JobChange): StoredChange => ({
   ...(c.done?.length ? { d: encodeRanges(c.done) } : {}),
   ...(c.gone?.length ? { g: encodeRanges(c.gone) } : {}),
+  ...(c.failed?.length ? { x: encodeRanges(c.failed) } : {}),
   ...(c.start
     ? { a: c.start.attempt, p: Object.fromEntries([...c.start.on].map(([m, t]) => [m, encodeRanges(t)])) }
     : {}),
@@ -206,14 +211,16 @@
 export const encodeRecord = (jobs: ReadonlyMap<string, JobChange>): unknown =>
   Object.fromEntries([...jobs].map(([id, c]) => [id, encodeChange(c)]));
 
-export const decodeRecord = (seq: number, value: unknown): CycleRecord => ({
+export const decodeRecord = (seq: number, value: unknown, stamp: number): CycleRecord => ({
   seq,
+  stamp,
   jobs: new Map(
     Object.entries(value as Record<string, StoredChange>).map(([id, c]) => [
       id,
       {
         done: c.d === undefined ? undefined : decodeRanges(c.d),
         gone: c.g === undefined ? undefined : decodeRanges(c.g),
+        failed: c.x === undefined ? undefined : decodeRanges(c.x),
         start:
           c.a === undefined
             ? undefined
--- a/src/jobs/model.ts
+++ b/src/jobs/model.ts
@@ -49,6 +49,8 @@
   attempt: number;
   readonly done: Set<number>;
   readonly placed: Map<number, Placement>;
+  /** Machines on which tasks of it failed, as far as they tell something new. */
+  readonly failedOn: Set<string>;
   /** Revision of the job's own key. */
   stamp: number;
   /** The last cycle record that the job's own key already includes. */
@@ -63,6 +65,8 @@
   readonly done?: readonly number[];
   /** Tasks surely gone without completing. */
   readonly gone?: readonly number[];
+  /** Those of `gone` that failed by themselves. */
+  readonly failed?: readonly number[];
   /** Starts: the attempt's number and tasks by machine. */
   readonly start?: { readonly attempt: number; readonly on: ReadonlyMap<string, readonly number[]> };
 }
@@ -70,9 +74,14 @@
 /** One cycle's durable decisions. */
 export interface CycleRecord {
   readonly seq: number;
+  /** Revision at which it was committed. */
+  readonly stamp: number;
   readonly jobs: ReadonlyMap<string, JobChange>;
 }
 
+/** More machines than this tell nothing new about a job that failed on all of them. */
+const FAILURES_KEPT = 4;
+
 export type FinalState = { readonly status: 'done' | 'cancelled'; readonly tasks: number };
 
 export const applyChange = (job: Job, change: JobChange, seq: number): void => {
@@ -80,6 +89,10 @@
     job.done.add(t);
     job.placed.delete(t);
   }
+  for (const t of change.failed ?? []) {
+    const p = job.placed.get(t);
+    if (p && job.failedOn.size < FAILURES_KEPT) job.failedOn.add(p.machine);
+  }
   for (const t of change.gone ?? []) job.placed.delete(t);
   if (change.start) {
     job.attempt = Math.max(job.attempt, change.start.attempt);
--- a/src/leadership/leadership.ts
+++ b/src/leadership/leadership.ts
@@ -10,6 +10,7 @@
 import type { JobCache } from '../jobs/cache.js';
 import type { Feed } from '../jobs/feed.js';
 import { LEADER, TERM } from '../jobs/keys.js';
+import type { Contacts } from './contacts.js';
 import type { Peers } from './peers.js';
 import type { Settings } from '../settings/settings.js';
 import { Priority } from '../state-store/budget.js';
@@ -19,6 +20,8 @@
 /** How long a reign waits for its lease to be extended again after its right ran out. */
 const LINGER = seconds(8);
 const HOLD_MARGIN = millis(1500);
+/** How long a node that workers don't reach leaves a vacant lead to a peer that they do reach. */
+const PATIENCE = millis(1500);
 
 export interface Reign {
   readonly term: number;
@@ -31,17 +34,20 @@
   private reign: Reign | null = null;
   private lease: number | null = null;
   private rightUntil = Number.NEGATIVE_INFINITY;
-  /** After giving way: not before this time, and not before somebody reached this node. */
+  /** After giving way: not before this time. */
   private shunUntil = Number.NEGATIVE_INFINITY;
   private readonly ttl: Micros;
   private holds = false;
+  /** Since when this node has left a vacant lead to a better placed peer. */
+  private vacantSince: Micros | null = null;
 
   constructor(
     private readonly settings: Settings,
     private readonly store: StatePort,
     private readonly feed: Feed,
     private readonly cache: JobCache,
-    private readonly peers: Pick<Peers, 'confirmedUntil' | 'highestTerm'>,
+    private readonly peers: Pick<Peers, 'confirmedUntil' | 'highestTerm' | 'candidates'>,
+    private readonly contacts: Contacts,
     private readonly clock: () => Micros,
   ) {
     this.ttl = Math.min(seconds(4), Math.max(seconds(2.5), settings.workers.lease / 5)) as Micros;
@@ -107,8 +113,28 @@
   /** On orderly stop. */
   readonly release: Effect.Effect<void> = Effect.suspend(() => this.giveWay('stop', 0));
 
+  /** Gives way when workers that reached this node reach only a peer now. */
+  private readonly giveWayIfCutOff = Effect.suspend(() => {
+    const reign = this.acting();
+    const at = this.clock();
+    if (reign === null || at - reign.began < this.contacts.window) return Effect.void;
+    const reason = this.contacts.cutOff(at, this.peers.candidates());
+    return reason === null ? Effect.void : this.giveWay(reason, this.contacts.away(at));
+  });
+
+  /** Workers reach a peer and not this node: the peer goes first, for a moment. */
+  private worsePlaced(): boolean {
+    const at = this.clock();
+    const mine = this.contacts.recent(at);
+    if (!this.peers.candidates().some((p) => p.contacts > 2 * mine + 2)) return false;
+    this.vacantSince ??= at;
+    return at - this.vacantSince < PATIENCE;
+  }
+
   private readonly campaign = Effect.gen(this, function* () {
+    if (this.cache.leader !== null) this.vacantSince = null;
     if (!this.feed.loaded || this.cache.leader !== null || this.clock() < this.shunUntil) return;
+    if (this.worsePlaced()) return;
     yield* this.feed.refresh;
     if (this.cache.leader !== null) return;
     const asked = this.clock();
@@ -165,6 +191,7 @@
       } else this.holds = false;
       if (this.reign !== null) {
         yield* this.renew;
+        yield* this.giveWayIfCutOff;
         yield* Effect.sleep(toMillis(this.ttl / 5));
       } else {
         yield* this.campaign.pipe(Effect.catchAll(() => Effect.void));
--- a/src/leadership/peers.ts
+++ b/src/leadership/peers.ts
@@ -6,12 +6,13 @@
  *   and gets no service either;
  * - a new leader's acknowledgement: enough nodes know its term that no hold of an older one can be renewed.
  */
-import { Effect } from 'effect';
+import { Effect, Schema } from 'effect';
 import { pack, unpack } from 'msgpackr';
 import { duty } from '../base/duty.js';
-import { HttpClient, keptOpen, type NoAnswer } from '../base/http-client.js';
+import { HttpClient, keptOpen, NoAnswer } from '../base/http-client.js';
 import { type Answer, type Incoming, json } from '../base/http-server.js';
 import { type Micros, plus, seconds } from '../base/micros.js';
+import type { FleetNews } from '../fleet/model.js';
 import type { Peer, Settings } from '../settings/settings.js';
 
 export interface Beat {
@@ -22,6 +23,10 @@
   readonly served: boolean;
   /** The sender has read the term from the store since it started: only then does its word count. */
   readonly loaded: boolean;
+  /** Workers that have reached the sender lately, whatever it answered them. */
+  readonly contacts: number;
+  /** From a leader only: what its successor should know of its machines. */
+  readonly news?: FleetNews;
 }
 
 /** Carries a beat to a peer and its answering beat back. */
@@ -32,6 +37,8 @@
 const EVERY_MS = 1000;
 /** How long a confirmation counts, from when it was asked for. */
 export const CONFIRM = seconds(3);
+/** A peer's word about itself is believed for this long. */
+const FRESH = seconds(3.5);
 
 interface Heard {
   readonly beat: Beat;
@@ -44,6 +51,7 @@
   private readonly answers = new Map<string, Heard>();
   private readonly known = new Set<string>();
   private highest = 0;
+  private news: { readonly news: FleetNews; readonly at: Micros } | null = null;
 
   constructor(
     private readonly settings: Settings,
@@ -63,18 +71,37 @@
 
   /** A peer's beat came in; the answer. */
   receive(beat: Beat): Beat {
+    // Its sender's term is the highest it knows: a deposed leader that has not heard of it says nothing newer.
+    if (beat.news !== undefined && beat.term >= this.highest)
+      this.news = { news: beat.news, at: this.clock() };
     this.highest = Math.max(this.highest, beat.term);
     return this.beat();
   }
 
+  /** The latest that a leader said of its machines, and when it came. */
+  lastNews(): { readonly news: FleetNews; readonly at: Micros } | null {
+    return this.news;
+  }
+
   highestTerm(): number {
     return this.highest;
   }
 
-  otherServed(): boolean {
+  /** What peers have said of themselves lately. */
+  private fresh(): Beat[] {
     const at = this.clock();
-    for (const h of this.answers.values()) if (h.beat.served && at - h.at < 3.5e6) return true;
-    return false;
+    return [...this.answers.values()].filter((h) => at - h.at < FRESH).map((h) => h.beat);
+  }
+
+  otherServed(): boolean {
+    return this.fresh().some((b) => b.served);
+  }
+
+  /** Peers that could lead, with the workers that reach them. */
+  candidates(): { node: string; contacts: number }[] {
+    return this.fresh()
+      .filter((b) => b.served && b.loaded)
+      .map((b) => ({ node: b.from, contacts: b.contacts }));
   }
 
   /** Until when a majority's word, this node's included, lets a leader of `term` hold on. */
@@ -119,6 +146,40 @@
   );
 }
 
+const isBeat = Schema.is(
+  Schema.Struct({
+    from: Schema.String,
+    term: Schema.Int,
+    served: Schema.Boolean,
+    loaded: Schema.Boolean,
+    contacts: Schema.Int,
+    news: Schema.optional(
+      Schema.Struct({
+        rented: Schema.Array(
+          Schema.Struct({
+            id: Schema.String,
+            type: Schema.String,
+            zone: Schema.String,
+            spot: Schema.Boolean,
+            age: Schema.Number,
+          }),
+        ),
+        removed: Schema.Array(Schema.String),
+      }),
+    ),
+  }),
+);
+
+/** null: not a beat. Whatever arrives, no duty and no connection ends of it. */
+export const readBeat = (body: Buffer): Beat | null => {
+  try {
+    const value: unknown = unpack(body);
+    return isBeat(value) && Number.isSafeInteger(value.term) ? value : null;
+  } catch {
+    return null;
+  }
+};
+
 /** Beats as msgpack over HTTP. */
 export class HttpPeers implements PeerPort {
   private readonly clients = new Map<string, HttpClient>();
@@ -127,9 +188,14 @@
     let c = this.clients.get(peer.label);
     if (!c)
       this.clients.set(peer.label, (c = new HttpClient(peer.address, keptOpen(2), 'application/msgpack')));
-    return c
-      .request('POST', '/beat', Buffer.from(pack(beat)), 900)
-      .pipe(Effect.map((r) => unpack(r.body) as Beat));
+    return c.request('POST', '/beat', Buffer.from(pack(beat)), 900).pipe(
+      Effect.flatMap((r) => {
+        const beat = readBeat(r.body);
+        return beat === null
+          ? Effect.fail(new NoAnswer({ reason: `no beat, status ${r.status}` }))
+          : Effect.succeed(beat);
+      }),
+    );
   }
 }
 
@@ -138,8 +204,8 @@
   (request: Incoming): Effect.Effect<Answer> =>
     Effect.sync(() => {
       if (request.path !== '/beat' || request.body === null) return json(404, {});
-      const beat = unpack(request.body) as Beat;
-      if (typeof beat?.from !== 'string' || !Number.isSafeInteger(beat.term)) return json(400, {});
+      const beat = readBeat(request.body);
+      if (beat === null) return json(400, {});
       return {
         status: 200,
         body: Buffer.from(pack(peers().receive(beat))),
--- a/src/node.ts
+++ b/src/node.ts
@@ -7,10 +7,11 @@
 import type { Answer, Incoming } from './base/http-server.js';
 import type { CloudPort } from './fleet/cloud.js';
 import { fleetDuty } from './fleet/duty.js';
-import type { MachineType } from './fleet/model.js';
+import type { FleetNews, MachineType } from './fleet/model.js';
 import { JobCache } from './jobs/cache.js';
 import { Feed } from './jobs/feed.js';
 import { TERM, TYPES } from './jobs/keys.js';
+import { Contacts } from './leadership/contacts.js';
 import { Leadership, type Reign } from './leadership/leadership.js';
 import { type PeerPort, Peers } from './leadership/peers.js';
 import { type CycleView, summary, turn, type Turn, upkeep } from './scheduler/duty.js';
@@ -44,18 +45,30 @@
 const TURN_EVERY_MS = 1000;
 const UPKEEP_GAP_MS = 100;
 const SUMMARY_EVERY_MS = 10_000;
+const PULSE_MS = 500;
+/** A pulse so much too late is worth a line in the log. */
+const STILL_MS = 1500;
+const NO_NEWS: FleetNews = { rented: [], removed: [] };
 
 export const makeNode = (settings: Settings, ports: Ports): Node => {
   const { store, clock } = ports;
   const cache = new JobCache();
   const feed = new Feed(cache, store, clock);
-  const peers = new Peers(
+  const peers: Peers = new Peers(
     settings,
     ports.peers,
-    () => ({ term: cache.term, served: served(), loaded: feed.loaded }),
+    () => ({
+      term: cache.term,
+      served: served(),
+      loaded: feed.loaded,
+      contacts: contacts.recent(clock()),
+      ...(leadership.acting() === null ? {} : { news: fleet.news }),
+    }),
     clock,
   );
-  const leadership = new Leadership(settings, store, feed, cache, peers, clock);
+  const contacts = new Contacts(settings);
+  const fleet: { news: FleetNews } = { news: NO_NEWS };
+  const leadership: Leadership = new Leadership(settings, store, feed, cache, peers, contacts, clock);
   let types: readonly MachineType[] | null = null;
   const knownTypes = (): readonly MachineType[] | null =>
     types ?? (cache.types as readonly MachineType[] | null);
@@ -73,6 +86,23 @@
       Effect.forever,
     ),
   );
+  /** Operators should see in the log that this node stood still: its clocks ran on, and its right may be gone. */
+  const pulse = duty(
+    'pulse',
+    Effect.suspend(() => {
+      const slept = clock();
+      return Effect.sleep(PULSE_MS).pipe(
+        Effect.zipRight(
+          Effect.suspend(() => {
+            const gap = toMillis(clock() - slept) - PULSE_MS;
+            return gap < STILL_MS
+              ? Effect.void
+              : info('stood still', { ms: gap, leads: leadership.acting() !== null });
+          }),
+        ),
+      );
+    }).pipe(Effect.forever),
+  );
   /** Why this node can't take requests; null: it can. With the state service out for all, leaving helps nobody. */
   const unready = (): string | null => {
     if (!feed.loaded) return 'starting';
@@ -112,6 +142,10 @@
   const session = (reign: Reign) =>
     Effect.gen(function* () {
       const book = new Book(settings, cache, reign.term, reign.began);
+      // What the last leader said of its machines, with the time passed since.
+      const heard = peers.lastNews();
+      if (heard !== null) book.warm(heard.news, heard.at);
+      fleet.news = heard?.news ?? NO_NEWS;
       const t: Turn = {
         settings,
         store,
@@ -123,6 +157,7 @@
         reigning: () => leadership.reigning(reign.term),
         acknowledged: () => peers.acknowledged(reign.term),
         types: () => knownTypes() ?? [],
+        fleet,
         clock,
         dayTime: ports.dayTime,
         companions: new Map(),
@@ -143,7 +178,7 @@
         yield* (t.acting() ? turn(t, view) : Effect.void).pipe(
           Effect.ensuring(Deferred.succeed(mine, undefined)),
         );
-        yield* sendUrgent(book, ports.workers);
+        if (t.acting()) yield* sendUrgent(book, ports.workers);
         yield* Effect.sleep(Math.max(TURN_GAP_MS, toMillis(view.cost * (1 / TURN_PART - 1))));
       }).pipe(Effect.forever);
       const tidy = duty(
@@ -194,16 +229,10 @@
   return {
     handle: route(
       users,
-      reportHandler(
-        settings,
-        leadership,
-        () => desk,
-        clock,
-        () => undefined,
-      ),
+      reportHandler(settings, leadership, () => desk, clock, contacts),
       unready,
     ),
-    run: Effect.all([feed.run, leadership.run, peers.run, probe, learnTypes, reigns], {
+    run: Effect.all([feed.run, leadership.run, peers.run, probe, pulse, learnTypes, reigns], {
       concurrency: 'unbounded',
     }).pipe(Effect.zipRight(Effect.never)),
     leadership,
--- a/src/scheduler/cycle.ts
+++ b/src/scheduler/cycle.ts
@@ -27,6 +27,10 @@
   type Item,
   type NodeState,
   type TeamState,
+  ANY_ROOM,
+  FREE_ROOM,
+  LEFT_ROOM,
+  type QueuedItem,
 } from './state.js';
 
 const NO_TEAM: TeamSettings = { name: '', guarantee: { cpus: 0, gpus: 0 }, limit: { cpus: 0, gpus: 0 } };
@@ -135,6 +139,7 @@
   const starts = new Map<Job, Start>();
   const stops: Stop[] = [];
   const unplaced: Unplaced[] = [];
+  const claims = new Map<string, number>();
   /** Shapes of task that found no room in this cycle: what fails once fails again. */
   const hopeless = new Set<string>();
 
@@ -235,11 +240,79 @@
   };
   const returned = new Set<Evicted>();
 
+  /** Places `group`, the next tasks of `item`, and says whether there was room. */
+  const put = (
+    team: TeamState,
+    item: QueuedItem,
+    group: readonly number[],
+    choice: Choice | null,
+  ): boolean => {
+    if (choice === null) return false;
+    const { job } = item.queued;
+    take(job, team, group, choice);
+    if (!choice.free) claims.set(job.spec.id, (claims.get(job.spec.id) ?? 0) + group.length);
+    item.at += group.length;
+    return true;
+  };
+  const nextOf = (item: QueuedItem): readonly number[] =>
+    item.queued.job.spec.shape === 'gang' ? item.queued.tasks : [item.queued.tasks[item.at]!];
+
+  /** Places the next of what `item` wants; false: there is nothing more to be had for it now. */
+  const serve = (team: TeamState, item: QueuedItem): boolean => {
+    const { job, tasks, cautious, rents } = item.queued;
+    const gang = job.spec.shape === 'gang';
+    const group = nextOf(item);
+    const { spec } = job;
+    // What is cautious looks for less than others of its shape.
+    const key =
+      gang || cautious
+        ? ''
+        : [
+            spec.team,
+            spec.urgency,
+            spec.cpus,
+            spec.gpus,
+            spec.memGb,
+            spec.types,
+            spec.zone,
+            spec.spot,
+            spec.spread || spec.oneZone ? spec.id : '',
+            spec.gpus > 0 ? '' : guardsOf(input.companions, job).length,
+          ].join('|');
+    const limited = overLimit(team, sizeOf(item));
+    const choice =
+      limited || (key !== '' && hopeless.has(key))
+        ? null
+        : find(job, team, group.length, cautious ? FREE_ROOM : ANY_ROOM);
+    if (!put(team, item, group, choice)) {
+      if (key !== '' && !limited) hopeless.add(key);
+      // More machines would not help a team at its limit.
+      if (!limited && rents) unplaced.push({ job, count: gang ? tasks.length : tasks.length - item.at });
+      return false;
+    }
+    return item.at < tasks.length;
+  };
+
+  // Those whose room is being left for them by others had their turn when the others were stopped.
+  const over = new Set<Item>();
+  for (const [id, count] of input.claims) {
+    for (const team of teams.values()) {
+      const item = team.queue.find((i) => i.kind === 'queued' && i.queued.job.spec.id === id);
+      if (item?.kind !== 'queued' || item.queued.cautious) continue;
+      while (item.at < Math.min(count, item.queued.tasks.length) && !overLimit(team, sizeOf(item))) {
+        const group = nextOf(item);
+        if (!put(team, item, group, find(item.queued.job, team, group.length, LEFT_ROOM))) break;
+      }
+      if (item.at >= item.queued.tasks.length) over.add(item);
+    }
+  }
+
   // Refill.
   for (;;) {
     let team: TeamState | null = null;
     let smallest = Number.POSITIVE_INFINITY;
     for (const t of teams.values()) {
+      while (t.next < t.queue.length && over.has(t.queue[t.next]!)) t.next++;
       const item = t.queue[t.next];
       if (!item) continue;
       const s = share(t, sizeOf(item));
@@ -257,39 +330,10 @@
       returned.add(item.unit);
       continue;
     }
-    const { job, tasks } = item.queued;
-    const gang = job.spec.shape === 'gang';
-    const group = gang ? tasks : [tasks[item.at]!];
-    const size = sizeOf(item);
-    const { spec } = job;
-    const key = gang
-      ? ''
-      : [
-          spec.team,
-          spec.urgency,
-          spec.cpus,
-          spec.gpus,
-          spec.memGb,
-          spec.types,
-          spec.zone,
-          spec.spot,
-          spec.spread || spec.oneZone ? spec.id : '',
-          spec.gpus > 0 ? '' : guardsOf(input.companions, job).length,
-        ].join('|');
-    const limited = overLimit(team, size);
-    const choice = limited || (key !== '' && hopeless.has(key)) ? null : find(job, team, group.length);
-    if (choice === null) {
-      if (key !== '' && !limited) hopeless.add(key);
-      team.next++;
-      // More machines would not help a team at its limit.
-      if (!limited) unplaced.push({ job, count: gang ? tasks.length : tasks.length - item.at });
-      continue;
-    }
-    take(job, team, group, choice);
-    if (gang || ++item.at >= tasks.length) team.next++;
+    if (!serve(team, item)) team.next++;
   }
 
   const free = new Map<string, Room>();
   for (const n of nodes.values()) free.set(n.view.id, [...n.free]);
-  return { starts: [...starts.values()], stops, unplaced, free };
+  return { starts: [...starts.values()], stops, unplaced, claims, free };
 };
--- a/src/scheduler/duty.ts
+++ b/src/scheduler/duty.ts
@@ -16,7 +16,7 @@
 import type { Condition, Outcome, Write } from '../state-store/client.js';
 import type { StatePort } from '../state-store/port.js';
 import { type Book, endsOf } from '../workers/book.js';
-import type { MachineType } from '../fleet/model.js';
+import type { FleetNews, MachineType } from '../fleet/model.js';
 import { schedule } from './cycle.js';
 import type { Companion, CycleResult, Holder, NodeView, QueuedJob, Start } from './model.js';
 import { rankOf } from './rank.js';
@@ -43,6 +43,8 @@
   /** Enough nodes know this term that no older leader can go on. */
   readonly acknowledged: () => boolean;
   readonly types: () => readonly MachineType[];
+  /** What the fleet's duty tells the followers. */
+  readonly fleet: { news: FleetNews };
   readonly clock: () => Micros;
   /** Time of day: deadlines count from a time of day. */
   readonly dayTime: () => Micros;
@@ -99,6 +101,12 @@
   return named.length === 0 ? [1] : named.sort((a, b) => a - b);
 };
 
+/**
+ * Nothing is rented for what looks broken, unless a try has been due for so long: there may be no other machine,
+ * and a good job that met faulty ones must still get done.
+ */
+const TRIED_BY_NOW = seconds(45);
+
 /** Jobs with tasks to start, once what the book has seen to end is recorded. */
 const queuedOf = (t: Turn, at: Micros): QueuedJob[] => {
   const out: QueuedJob[] = [];
@@ -106,22 +114,51 @@
   // What one job's key must be able to hold.
   const most = Math.max(50, Math.floor((t.settings.state.valueBytes * 0.5) / 12));
   for (const job of t.cache.jobs.values()) {
-    if (job.withdrawn || isComplete(job) || at < t.book.heldUntil(job.spec.id)) continue;
+    if (job.withdrawn || isComplete(job) || at < t.book.heldUntil(job, at)) continue;
     const ends = t.book.ends.get(job.spec.id);
     const on = job.placed.size - (ends ? [...job.placed.keys()].filter((i) => endsOf(ends, i)).length : 0);
     const tasks: number[] = [];
-    const room = job.spec.shape === 'gang' ? job.spec.tasks : most - job.placed.size;
-    if (job.spec.shape === 'gang' ? on > 0 : on + job.done.size >= job.spec.tasks) continue;
+    const broken = t.book.looksBroken(job, at);
+    const gang = job.spec.shape === 'gang';
+    if (gang || broken ? on > 0 : on + job.done.size >= job.spec.tasks) continue;
+    // Of what looks broken one task shows as much as all.
+    const room = gang ? job.spec.tasks : broken ? 1 : most - job.placed.size;
     for (let i = 0; i < job.spec.tasks && tasks.length < room; i++) {
       if (job.done.has(i) || ends?.done.has(i) || (job.placed.has(i) && !ends?.gone.has(i))) continue;
       tasks.push(i);
     }
     if (tasks.length === 0) continue;
-    out.push({ job, tasks, rank: rankOf(job, day, multiplesOf(t, job.spec.jobClass)) });
+    const rank = rankOf(job, day, multiplesOf(t, job.spec.jobClass), broken);
+    const rents = !broken || at - t.book.heldUntil(job, at) > TRIED_BY_NOW;
+    out.push({ job, tasks, rank, cautious: broken, rents });
   }
   return out;
 };
 
+/**
+ * Priority factors of teams, by what their jobs are promised: a start or a deadline, an end only, or nothing.
+ * Teams with no guarantee and no aim come with idle-time work; at the same factor they would hold half of
+ * everything before others that wait.
+ */
+const PROMISED_END = 4;
+const PROMISED_NOTHING = 20;
+
+const weightsOf = (t: Turn): Map<string, number> => {
+  const named = new Map<string, number>();
+  for (const o of t.settings.objectives)
+    named.set(
+      o.jobClass,
+      Math.max(named.get(o.jobClass) ?? 0, o.kind === 'wait' || o.kind === 'deadline' ? 1 : 1 / PROMISED_END),
+    );
+  const weights = new Map<string, number>();
+  if (named.size === 0) return weights;
+  for (const { guarantee, name } of t.settings.teams)
+    weights.set(name, guarantee.cpus > 0 || guarantee.gpus > 0 ? 1 : 1 / PROMISED_NOTHING);
+  for (const { spec } of t.cache.jobs.values())
+    weights.set(spec.team, Math.max(weights.get(spec.team) ?? 0, named.get(spec.jobClass) ?? 0));
+  return weights;
+};
+
 /** A class of GPU jobs counts for this long after its last job was there: the next one is likely to come. */
 const REMEMBERED = 300e6;
 
@@ -171,7 +208,7 @@
     const job = t.cache.jobs.get(id);
     // A gang that completed is done as a whole, whatever else its members said.
     const gone = [...e.gone].filter((x) => !e.done.has(x));
-    if (job) put(id, { done: [...e.done], gone });
+    if (job) put(id, { done: [...e.done], gone, failed: gone.filter((x) => e.failed.has(x)) });
   }
   // The starts count on the room of every end: with one of these left out, they wait for the next record.
   if (!whole) return { jobs, when, whole };
@@ -189,6 +226,9 @@
   return { jobs, when, whole };
 };
 
+/** An outcome; `revision` null: applied, but at which revision is not known. */
+type Settled = Exclude<Outcome, { ok: true }> | { readonly ok: true; readonly revision: number | null };
+
 /**
  * Sends one transaction until its outcome is known or the reign is over. Without right it waits: giving up
  * in between would leave a record that may be applied and that nobody here counts with.
@@ -199,7 +239,7 @@
   then: readonly Write[],
   probe: string,
   priority = Priority.Commit,
-): Effect.Effect<Outcome | null> =>
+): Effect.Effect<Settled | null> =>
   Effect.gen(function* () {
     let unsure = false;
     for (;;) {
@@ -212,7 +252,7 @@
       if (r._tag === 'Right') {
         // Sent before without an answer, and now its own key stands in the way: the first copy was applied.
         if (!r.right.ok && unsure && r.right.failed.includes(probe) && !r.right.failed.includes(TERM)) {
-          return { ok: true, revision: r.right.revision } as const;
+          return { ok: true, revision: null } as const;
         }
         return r.right;
       }
@@ -240,7 +280,9 @@
       yield* debug('record refused', { term: t.reign.term, seq, failed: outcome.failed.join(',') });
       return false;
     }
-    t.cache.addRecord({ seq, jobs: draft.jobs });
+    // Without its revision it comes from the watch: whether it or a withdrawal was first decides what a job is.
+    if (outcome.revision !== null) t.cache.addRecord({ seq, stamp: outcome.revision, jobs: draft.jobs });
+    else while (!t.cache.tail.has(seq) && t.reigning()) yield* Effect.ignore(t.feed.refresh);
     let started = 0;
     for (const [id, c] of draft.jobs) {
       t.book.settled(id, c.done ?? [], c.gone ?? []);
@@ -363,6 +405,9 @@
     const at = t.clock();
     for (const machine of t.book.lapse(at, t.acknowledged()))
       yield* info('lease lapsed', { term: t.reign.term, machine });
+    for (const job of t.book.suspects(at)) yield* info('job looks broken', { term: t.reign.term, job });
+    for (const { machine, faulty } of t.book.judge(at))
+      yield* info(faulty ? 'machine blamed' : 'blame taken back', { term: t.reign.term, machine });
     t.book.dirty = false;
     t.book.recalls(at);
     for (const job of t.cache.jobs.values()) {
@@ -377,7 +422,8 @@
     const result = schedule({
       now: at,
       teams: t.settings.teams,
-      weights: new Map(),
+      weights: weightsOf(t),
+      claims: view.result?.claims ?? new Map(),
       nodes,
       holders,
       queued,
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -60,8 +60,10 @@
   readonly companions: readonly Companion[];
   /** Machines beyond need: last choice, and not for low work without GPUs. */
   readonly surplus: ReadonlySet<string>;
+  /** Jobs for which others were stopped in an earlier cycle, with how many tasks: they go before all others. */
+  readonly claims: ReadonlyMap<string, number>;
   /** Machines a job should avoid, because it failed there; null: none. */
-  readonly avoid: (jobId: string) => ReadonlySet<string> | null;
+  readonly avoid: (job: Job) => ReadonlySet<string> | null;
 }
 
 export interface Companion {
@@ -79,6 +81,10 @@
   readonly tasks: readonly number[];
   /** Smaller goes first among the same urgency in the team's queue. */
   readonly rank: number;
+  /** It failed wherever it ran: it gets room that is free and displaces nobody. */
+  readonly cautious: boolean;
+  /** Machines may be rented for it. */
+  readonly rents: boolean;
 }
 
 export interface Start {
@@ -100,6 +106,8 @@
   readonly starts: Start[];
   readonly stops: Stop[];
   readonly unplaced: Unplaced[];
+  /** Tasks that were promised room which is still being left. */
+  readonly claims: ReadonlyMap<string, number>;
   /** Room still free on each machine after the cycle. */
   readonly free: Map<string, Room>;
 }
--- a/src/scheduler/place.ts
+++ b/src/scheduler/place.ts
@@ -13,6 +13,7 @@
   type Finder,
   type Floor,
   guardsOf,
+  type Level,
   mayDisplace,
   type NodeState,
   outranked,
@@ -55,7 +56,7 @@
       );
       lists.set(key, list);
     }
-    const shunned = floor.avoid(job.spec.id);
+    const shunned = floor.avoid(job);
     return shunned === null ? list : list.filter((n) => !shunned.has(n.view.id));
   };
 
@@ -91,7 +92,7 @@
     count: number,
     below: number,
     list: readonly NodeState[],
-    level: 0 | 1 | 2,
+    level: Level,
   ): Choice | null => {
     const need = room(job.spec);
     const guards = guardsOf(floor.companions, job);
@@ -164,7 +165,7 @@
     return { machines, victims, free };
   };
 
-  return (job, team, count) => {
+  return (job, team, count, levels) => {
     const at = zonesAllowed(floor, zones, job);
     if (at.length === 0) return null;
     const need = room(job.spec);
@@ -174,7 +175,7 @@
       .map((g) => candidates(job, g))
       .map((list) => ({ list, slots: slotsIn(need, below, list, one ? Number.POSITIVE_INFINITY : count) }))
       .filter((g) => g.slots >= count);
-    for (const level of [0, 1, 2] as const) {
+    for (const level of levels) {
       const found: ZoneChoice[] = [];
       for (const { list, slots } of groups) {
         const choice = choose(job, team, count, below, list, level);
--- a/src/scheduler/rank.ts
+++ b/src/scheduler/rank.ts
@@ -11,9 +11,12 @@
 import type { Job } from '../jobs/model.js';
 
 const BEHIND = 1e16;
+/** What failed wherever it ran comes after all others of its urgency, in the order of submission. */
+const LAST = 1000 * BEHIND;
 
-export const rankOf = (job: Job, day: Micros, multiples: readonly number[]): number => {
+export const rankOf = (job: Job, day: Micros, multiples: readonly number[], broken = false): number => {
   const { deadline, estimate, submitted, tasks } = job.spec;
+  if (broken) return LAST + submitted;
   if (deadline === null) return submitted;
   const left = tasks - job.done.size - job.placed.size;
   for (let i = 0; i < multiples.length; i++) {
--- a/src/scheduler/state.ts
+++ b/src/scheduler/state.ts
@@ -40,16 +40,17 @@
   readonly queue: Item[];
   next: number;
 }
+export interface QueuedItem {
+  readonly kind: 'queued';
+  readonly queued: QueuedJob;
+  readonly urgency: number;
+  readonly rank: number;
+  /** Index of the next task. */
+  at: number;
+}
 export type Item =
   | { readonly kind: 'evicted'; readonly unit: Evicted; readonly urgency: number; readonly rank: number }
-  | {
-      readonly kind: 'queued';
-      readonly queued: QueuedJob;
-      readonly urgency: number;
-      readonly rank: number;
-      /** Index of the next task, for arrays and services. */
-      at: number;
-    };
+  | QueuedItem;
 
 /** Where a gang's members, or one task, go. */
 export interface Choice {
@@ -58,8 +59,13 @@
   /** All on room that is free now. */
   readonly free: boolean;
 }
-/** null: nowhere, even by displacing. */
-export type Finder = (job: Job, team: TeamState, count: number) => Choice | null;
+/** How far a search goes: free room, then room being left, then displacing. */
+export type Level = 0 | 1 | 2;
+export const ANY_ROOM: readonly Level[] = [0, 1, 2];
+export const LEFT_ROOM: readonly Level[] = [0, 1];
+export const FREE_ROOM: readonly Level[] = [0];
+/** null: nowhere, as far as these levels go. */
+export type Finder = (job: Job, team: TeamState, count: number, levels: readonly Level[]) => Choice | null;
 
 export interface Floor {
   readonly nodes: ReadonlyMap<string, NodeState>;
@@ -68,7 +74,7 @@
   /** Jobs with a task that may be anywhere: zone rules can't be kept for them yet. */
   readonly lostSight: ReadonlySet<Job>;
   readonly companions: readonly Companion[];
-  readonly avoid: (jobId: string) => ReadonlySet<string> | null;
+  readonly avoid: (job: Job) => ReadonlySet<string> | null;
   readonly share: (team: TeamState) => number;
   readonly withinGuarantee: (team: TeamState, more: Room) => boolean;
 }
--- a/src/workers/book.ts
+++ b/src/workers/book.ts
@@ -4,12 +4,13 @@
  * count stand in the store, and the book is made anew by every term.
  */
 import { DRIFT, type Micros, plus, seconds } from '../base/micros.js';
-import type { ListedMachine } from '../fleet/model.js';
+import type { FleetNews, ListedMachine } from '../fleet/model.js';
 import type { JobCache } from '../jobs/cache.js';
 import { type Job, type Placement, taskKey } from '../jobs/model.js';
 import { CONFIRM } from '../leadership/peers.js';
 import type { Settings } from '../settings/settings.js';
-import type { ExitCause, Order, Report, ReportedTask } from './codec.js';
+import { Blame } from './blame.js';
+import type { Order, Report, ReportedTask } from './codec.js';
 
 export interface Machine {
   readonly id: string;
@@ -35,10 +36,11 @@
   listed: ListedMachine['status'] | null;
   /** When the machine became known or was rented, for the first time it was charged. */
   since: Micros;
+  /** Since when the cloud's list has called it running in this term. */
+  runningSince: Micros | null;
   emptySince: Micros | null;
   closed: string | null;
   images: Set<string>;
-  readonly failedJobs: Set<string>;
   cooldownUntil: Micros;
 }
 
@@ -57,9 +59,12 @@
 export interface Ends {
   readonly done: Set<number>;
   readonly gone: Set<number>;
+  /** Those of `gone` that failed by themselves. */
+  readonly failed: Set<number>;
 }
 
 const ZERO = 0 as Micros;
+const FAULTY = 'faulty';
 
 export const endsOf = (e: Ends, task: number): boolean => e.done.has(task) || e.gone.has(task);
 
@@ -70,8 +75,8 @@
   readonly ends = new Map<string, Ends>();
   readonly stopping = new Map<string, Stopping>();
   readonly running = new Map<string, Running>();
-  /** Jobs that failed, and where: `error` exits of this term. */
-  private readonly failures = new Map<string, { machines: Set<string>; count: number; until: Micros }>();
+  private readonly blame: Blame;
+  private readonly suspected = new Set<string>();
   private readonly holds = new Map<string, Micros>();
   /** Stops that should also go out directly. */
   urgent: { machine: Machine; order: Order }[] = [];
@@ -85,7 +90,9 @@
     private readonly cache: JobCache,
     readonly term: number,
     readonly began: Micros,
-  ) {}
+  ) {
+    this.blame = new Blame(began);
+  }
 
   machine(
     id: string,
@@ -109,10 +116,10 @@
         strangers: false,
         listed: null,
         since: at,
+        runningSince: null,
         emptySince: null,
         closed: null,
         images: new Set(),
-        failedJobs: new Set(),
         cooldownUntil: ZERO,
       };
       this.machines.set(id, m);
@@ -120,14 +127,20 @@
     return m;
   }
 
-  wasDeleted(id: string): boolean {
-    return this.deleted.has(id);
+  /** What an earlier leader has said of machines that the cloud's list does not show yet, or still shows. */
+  warm(news: FleetNews, at: Micros): void {
+    for (const id of news.removed) this.removed(id);
+    for (const r of news.rented) {
+      if (this.deleted.has(r.id) || this.machines.has(r.id)) continue;
+      const m = this.machine(r.id, plus(at, -r.age), { addr: '', type: r.type, zone: r.zone, spot: r.spot });
+      m.listed = 'booting';
+    }
   }
 
   private end(job: Job, task: number, how: 'done' | 'gone'): void {
     const id = job.spec.id;
     let e = this.ends.get(id);
-    if (!e) this.ends.set(id, (e = { done: new Set(), gone: new Set() }));
+    if (!e) this.ends.set(id, (e = { done: new Set(), gone: new Set(), failed: new Set() }));
     if (how === 'done') {
       // A gang completes as a whole.
       if (job.spec.shape === 'gang') for (let t = 0; t < job.spec.tasks; t++) e.done.add(t);
@@ -262,40 +275,68 @@
       return;
     }
     if (this.isEnding(job.spec.id, p.task)) return;
+    const since = this.running.get(t.key)?.since;
     this.running.delete(t.key);
     this.stopping.delete(t.key);
-    if (t.cause === 'done') this.end(job, p.task, 'done');
-    else {
-      this.end(job, p.task, 'gone');
-      this.exited(m, job, t.cause!, at);
+    if (t.cause === 'done') {
+      this.end(job, p.task, 'done');
+      this.blame.completed(job, m.id);
+      return;
     }
+    this.end(job, p.task, 'gone');
+    if (t.cause === 'error') {
+      this.ends.get(job.spec.id)!.failed.add(p.task);
+      this.blame.failed(job, m.id, since === undefined ? 0 : at - since, at);
+    } else if (t.cause === 'no-room') m.cooldownUntil = plus(at, 2e6);
+    else if (t.cause === 'unknown' || t.cause === 'busy') this.holds.set(job.spec.id, plus(at, 2e6));
   }
 
-  private exited(m: Machine, job: Job, cause: ExitCause, at: Micros): void {
-    const id = job.spec.id;
-    if (cause === 'error') {
-      let f = this.failures.get(id);
-      if (!f) this.failures.set(id, (f = { machines: new Set(), count: 0, until: ZERO }));
-      f.machines.add(m.id);
-      f.count++;
-      // Failing on machine after machine: more likely the job's own fault. Retried ever more seldom.
-      if (f.machines.size >= 3) f.until = plus(at, Math.min(60e6, 2e6 * 2 ** Math.min(5, f.count - 3)));
-      m.failedJobs.add(id);
-      const honest = [...m.failedJobs].filter((j) => (this.failures.get(j)?.machines.size ?? 0) < 3);
-      if (honest.length >= 2 && m.closed === null) m.closed = 'faulty';
-    } else if (cause === 'no-room') m.cooldownUntil = plus(at, 2e6);
-    else if (cause === 'unknown' || cause === 'busy') this.holds.set(id, plus(at, 2e6));
+  /** Failed wherever it ran: tried on, but seldom and little of it. */
+  looksBroken(job: Job, at: Micros): boolean {
+    if (!this.blame.looksBroken(job, 0)) return false;
+    let ranFor = 0;
+    for (const task of job.placed.keys()) {
+      const run = this.running.get(taskKey(job.spec.id, task));
+      if (run) ranFor = Math.max(ranFor, at - run.since);
+    }
+    return this.blame.looksBroken(job, ranFor);
+  }
+
+  /** Jobs that have come to look broken since this was last asked. */
+  suspects(at: Micros): string[] {
+    const out: string[] = [];
+    for (const [id, e] of this.ends) {
+      if (e.failed.size === 0 || this.suspected.has(id)) continue;
+      const job = this.cache.jobs.get(id);
+      if (!job || !this.looksBroken(job, at)) continue;
+      this.suspected.add(id);
+      out.push(id);
+    }
+    return out;
   }
 
   /** Not before this time should the job be started again. */
-  heldUntil(jobId: string): Micros {
-    return Math.max(this.failures.get(jobId)?.until ?? 0, this.holds.get(jobId) ?? 0) as Micros;
+  heldUntil(job: Job, at: Micros): Micros {
+    const held = this.holds.get(job.spec.id) ?? ZERO;
+    return this.looksBroken(job, at) ? (Math.max(held, this.blame.heldUntil(job)) as Micros) : held;
   }
 
   /** Machines a job should avoid, because it failed there. */
-  avoid(jobId: string): ReadonlySet<string> | null {
-    const f = this.failures.get(jobId);
-    return f !== undefined && f.machines.size < 3 ? f.machines : null;
+  avoid(job: Job): ReadonlySet<string> | null {
+    return this.blame.avoid(job);
+  }
+
+  /** Closes machines that the evidence speaks against, and opens those it no longer does. */
+  judge(at: Micros): { readonly machine: string; readonly faulty: boolean }[] {
+    const faulty = this.blame.faulty(at, (job) => this.looksBroken(job, at));
+    const out: { machine: string; faulty: boolean }[] = [];
+    for (const m of this.machines.values()) {
+      if (m.closed === null && faulty.has(m.id)) m.closed = FAULTY;
+      else if (m.closed === FAULTY && !faulty.has(m.id)) m.closed = null;
+      else continue;
+      out.push({ machine: m.id, faulty: m.closed !== null });
+    }
+    return out;
   }
 
   /**
@@ -340,6 +381,7 @@
       if (!this.isEnding(p.job.spec.id, p.task)) this.gone(p.job, p.task);
     }
     this.machines.delete(id);
+    this.blame.forget(id);
     this.deleted.add(id);
     this.dirty = true;
   }
@@ -355,6 +397,7 @@
       m.spot = l.spot;
       m.addr = l.addr;
       m.listed = l.status;
+      if (l.status === 'running') m.runningSince ??= at;
     }
   }
 
@@ -394,7 +437,10 @@
     const e = this.ends.get(jobId);
     if (!e) return;
     for (const t of done) e.done.delete(t);
-    for (const t of gone) e.gone.delete(t);
+    for (const t of gone) {
+      e.gone.delete(t);
+      e.failed.delete(t);
+    }
     for (const t of [...done, ...gone]) {
       const key = taskKey(jobId, t);
       this.running.delete(key);
--- a/src/workers/duty.ts
+++ b/src/workers/duty.ts
@@ -4,6 +4,7 @@
 import { type Answer, type Incoming, json, retryLater } from '../base/http-server.js';
 import { HttpClient } from '../base/http-client.js';
 import type { Micros } from '../base/micros.js';
+import type { Contacts } from '../leadership/contacts.js';
 import type { Leadership } from '../leadership/leadership.js';
 import type { Settings } from '../settings/settings.js';
 import type { Book } from './book.js';
@@ -46,7 +47,7 @@
     leadership: Leadership,
     desk: () => Desk | null,
     clock: () => Micros,
-    onContact: () => void,
+    contacts: Contacts,
   ) =>
   (request: Incoming): Effect.Effect<Answer> =>
     Effect.gen(function* () {
@@ -54,7 +55,7 @@
       const read = readReport(request.body);
       if (Either.isLeft(read)) return json(400, { error: read.left });
       const r = read.right;
-      onContact();
+      contacts.note(r.machine, clock());
       leadership.depose(r.token);
       const reign = leadership.answering();
       const d = desk();
--- /dev/null
+++ b/test/blame.test.ts
@@ -0,0 +1,87 @@
+/** Blame: a seeded fleet with faulty machines and jobs submitted with a mistake, tried as the scheduler would. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { type Micros, plus, seconds } from '../src/base/micros.js';
+import type { Job } from '../src/jobs/model.js';
+import { Blame } from '../src/workers/blame.js';
+import { job } from './world/job.js';
+import { Luck } from './world/time.js';
+
+const ZERO = 0 as Micros;
+const MACHINES = 12;
+const DAY = seconds(600);
+
+interface Day {
+  readonly blame: Blame;
+  readonly tries: Map<string, number>;
+  readonly doneAt: Map<string, Micros>;
+  readonly blamed: Set<string>;
+  readonly wrongly: Set<string>;
+}
+
+/** Every two seconds each job that may be tried runs one task somewhere; faulty machines are closed as blamed. */
+const play = (seed: number, faulty: number, broken: readonly Job[], good: readonly Job[]): Day => {
+  const luck = new Luck(seed);
+  const blame = new Blame(ZERO);
+  const day: Day = { blame, tries: new Map(), doneAt: new Map(), blamed: new Set(), wrongly: new Set() };
+  for (let at = ZERO; at < DAY; at = plus(at, 2e6)) {
+    const closed = blame.faulty(at, (j) => blame.looksBroken(j, 0));
+    for (const m of closed) (Number(m.slice(1)) < faulty ? day.blamed : day.wrongly).add(m);
+    for (const j of [...broken, ...good]) {
+      const { id } = j.spec;
+      if (day.doneAt.has(id) || (blame.looksBroken(j, 0) && at < blame.heldUntil(j))) continue;
+      const open = Array.from({ length: MACHINES }, (_, i) => `m${i}`).filter(
+        (m) => !closed.has(m) && !blame.avoid(j)?.has(m),
+      );
+      const m = open[luck.int(open.length)]!;
+      day.tries.set(id, (day.tries.get(id) ?? 0) + 1);
+      if (broken.includes(j) || Number(m.slice(1)) < faulty) blame.failed(j, m, 0, at);
+      else {
+        blame.completed(j, m);
+        day.doneAt.set(id, at);
+      }
+    }
+  }
+  return day;
+};
+const jobs = (name: string, n: number): Job[] => Array.from({ length: n }, (_, i) => job(`${name}-${i}`));
+
+// Two broken jobs' first tries once closed a good machine for ever.
+test('broken jobs and faulty machines together: each is found, none by mistake for long, good jobs get done', () => {
+  let found = 0;
+  for (let seed = 1; seed <= 40; seed++) {
+    const good = jobs('good', 40);
+    const day = play(seed, 3, jobs('broken', 4), good);
+    for (const j of good) assert.ok(day.doneAt.has(j.spec.id), `seed ${seed}: ${j.spec.id} never done`);
+    assert.deepEqual([...day.wrongly], [], `seed ${seed}: a good machine was blamed`);
+    found += day.blamed.size;
+    for (let i = 0; i < 4; i++) {
+      const n = day.tries.get(`broken-${i}`)!;
+      assert.ok(n >= 5 && n <= 12, `seed ${seed}: tried ${n} times in ten minutes`);
+    }
+  }
+  assert.ok(found > 40, `faulty machines blamed ${found} times of 120`);
+});
+
+test('blame is taken back when the jobs it rests on fail elsewhere too', () => {
+  const blame = new Blame(ZERO);
+  const [a, b] = [job('job-1'), job('job-2')];
+  const suspect = (j: Job): boolean => blame.looksBroken(j, 0);
+  for (const j of [a, b]) blame.failed(j, 'm', 0, ZERO);
+  assert.deepEqual([...blame.faulty(seconds(1), suspect)], [], 'not before the evidence has settled');
+  assert.deepEqual([...blame.faulty(seconds(4), suspect)], ['m']);
+  blame.failed(a, 'n', 0, seconds(5));
+  assert.deepEqual([...blame.faulty(seconds(9), suspect)], []);
+});
+
+test('a new leader knows from the records what looks broken, and does not begin with trying it', () => {
+  const known = job('job-1', { shape: 'gang' });
+  known.failedOn.add('m1').add('m2');
+  const blame = new Blame(seconds(100));
+  assert.equal(blame.looksBroken(known, 0), true);
+  assert.ok(blame.heldUntil(known) > seconds(110));
+  // A task that runs on and on is no failure.
+  assert.equal(blame.looksBroken(known, seconds(30)), false);
+  known.done.add(0);
+  assert.equal(blame.looksBroken(known, 0), false);
+});
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -18,6 +18,7 @@
     companions: [],
     surplus: new Set(),
     refused: () => false,
+    late: () => false,
     most: 40,
     ...over,
   });
--- a/test/program.test.ts
+++ b/test/program.test.ts
@@ -110,13 +110,18 @@
       [2, { task: 2, attempt: 3, machine: 'm' }],
       [5, { task: 5, attempt: 4, machine: 'n' }],
     ]),
+    failedOn: new Set(['k', 'l']),
     stamp: 11,
     folded: 6,
     touched: 6,
   };
   assert.deepEqual(decodeJob('job-1', JSON.parse(JSON.stringify(encodeJob(job, 6))), 11), job);
   const jobs = new Map([
-    ['job-1', { done: [1, 2], gone: [5], start: { attempt: 7, on: new Map([['m', [3, 4]]]) } }],
+    ['job-1', { done: [1, 2], gone: [5], failed: [5], start: { attempt: 7, on: new Map([['m', [3, 4]]]) } }],
   ]);
-  assert.deepEqual(decodeRecord(9, JSON.parse(JSON.stringify(encodeRecord(jobs)))), { seq: 9, jobs });
+  assert.deepEqual(decodeRecord(9, JSON.parse(JSON.stringify(encodeRecord(jobs))), 12), {
+    seq: 9,
+    stamp: 12,
+    jobs,
+  });
 });
--- a/test/scheduler.test.ts
+++ b/test/scheduler.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import type { Micros } from '../src/base/micros.js';
+import { type Micros, seconds } from '../src/base/micros.js';
 import type { Job, JobSpec, Urgency } from '../src/jobs/model.js';
 import { schedule } from '../src/scheduler/cycle.js';
 import type { CycleInput, CycleResult, Holder, NodeView, QueuedJob } from '../src/scheduler/model.js';
@@ -31,12 +31,15 @@
   queued: [],
   companions: [],
   surplus: new Set(),
+  claims: new Map(),
   avoid: () => null,
   ...over,
 });
-const queued = (j: Job, rank = 0): QueuedJob => ({
+const queued = (j: Job, rank = 0, cautious = false): QueuedJob => ({
   job: j,
   rank,
+  cautious,
+  rents: !cautious,
   tasks: Array.from({ length: j.spec.tasks }, (_, i) => i),
 });
 const held = (j: Job, machine: string, task = 0, leaving = false): Holder => ({
@@ -109,7 +112,10 @@
   }
   const left = s.jobs
     .filter((j) => (j.spec.shape === 'gang' ? j.placed.size === 0 : j.placed.size < j.spec.tasks))
-    .map((j, i) => ({ ...queued(j, i), tasks: queued(j).tasks.filter((t) => !j.placed.has(t)) }));
+    .map((j, i) => ({
+      ...queued(j, i, i % 7 === 6),
+      tasks: queued(j).tasks.filter((t) => !j.placed.has(t)),
+    }));
   return input({
     teams,
     nodes: nodes.map((n, i) => ({ ...n, open: s.nodes[i]!.open })),
@@ -127,7 +133,7 @@
         ...stateOf(s),
         companions: guarded ? companions : [],
         surplus: new Set([`vm-${shunned}`]),
-        avoid: (id: string) => (id.endsWith('3') ? new Set([`vm-${shunned}`]) : null),
+        avoid: (j: Job) => (j.spec.id.endsWith('3') ? new Set([`vm-${shunned}`]) : null),
       };
       const quick = schedule(i);
       assert.deepEqual(quick, schedule(i, plainFinder));
@@ -298,16 +304,58 @@
 test('zone rules count tasks on machines that have not reported', () => {
   const nodes = [node('m', { zone: 'b' })];
   const j = job('job-1', { tasks: 4, oneZone: true });
-  const rest = [{ job: j, rank: 0, tasks: [1, 2, 3] }];
+  const rest = [{ ...queued(j), tasks: [1, 2, 3] }];
   const starts = (zone: string | null) =>
     count(schedule(input({ nodes, holders: [{ ...held(j, 'unheard'), zone }], queued: rest })), 'job-1');
   assert.deepEqual([starts('a'), starts(null), starts('b')], [0, 0, 3]);
   const s = job('job-2', { tasks: 4, spread: true });
   const two = [0, 1].map((t) => ({ ...held(s, 'unheard', t), zone: 'b' }));
-  const r = schedule(input({ nodes, holders: two, queued: [{ job: s, rank: 0, tasks: [2, 3] }] }));
+  const r = schedule(input({ nodes, holders: two, queued: [{ ...queued(s), tasks: [2, 3] }] }));
   assert.equal(count(r, 'job-2'), 0);
 });
 
+// A guest team held less than the owners, so it went first in the next cycle and took the room that its own tasks
+// had been stopped to leave for a gang; the gang had others stopped again and again.
+test('room that others were stopped to leave goes to whom they were stopped for', () => {
+  const gang = job('job-1', { urgency: 1, shape: 'gang', tasks: 2, cpus: 6 });
+  const guests = job('job-2', { team: 'blue', tasks: 4, cpus: 6 });
+  const nodes = ['m', 'n', 'o'].map((id) => node(id));
+  const holders = nodes.map((n, i) => held(guests, n.id, i));
+  for (const h of holders) guests.placed.set(h.task, { task: h.task, attempt: 1, machine: h.machine });
+  const waiting = { ...queued(guests), tasks: [3] };
+  const first = schedule(input({ nodes, holders, queued: [queued(gang), waiting] }));
+  assert.deepEqual([first.stops.length, first.claims.get('job-1')], [2, 2]);
+  // One of the two is gone, the other is leaving; the owner of the gang holds more elsewhere than the guests do.
+  const [a, b] = first.stops.map((s) => s.machine);
+  const owned = held(job('job-3', { urgency: 1, cpus: 8 }), 'p');
+  const next = {
+    nodes: [...nodes, node('p')],
+    holders: [
+      owned,
+      ...holders.filter((h) => h.machine !== a).map((h) => ({ ...h, leaving: h.machine === b })),
+    ],
+    queued: [queued(gang), waiting],
+  };
+  assert.equal(count(schedule(input(next)), 'job-2'), 1, 'without the claim the guest goes first');
+  const kept = schedule(input({ ...next, claims: first.claims }));
+  assert.deepEqual([count(kept, 'job-2'), kept.stops.length, kept.claims.get('job-1')], [0, 0, 2]);
+});
+
+// A job submitted with a mistake displaced others at each try, kept the room it waited for, and had machines rented.
+test('a job that looks broken takes free room only, last, and asks for none', () => {
+  const low = job('job-1', { team: 'blue', cpus: 8 });
+  const urgent = job('job-2', { urgency: 2, cpus: 8 });
+  low.placed.set(0, { task: 0, attempt: 1, machine: 'm' });
+  const full = { nodes: [node('m')], holders: [held(low, 'm')] };
+  assert.equal(schedule(input({ ...full, queued: [queued(urgent)] })).stops.length, 1);
+  const cautious = schedule(input({ ...full, queued: [queued(urgent, 0, true)] }));
+  assert.deepEqual([cautious.starts, cautious.stops, cautious.unplaced], [[], [], []]);
+  assert.equal(count(schedule(input({ nodes: [node('m')], queued: [queued(urgent, 0, true)] })), 'job-2'), 1);
+  assert.ok(
+    rankOf(urgent, ZERO, [1], true) > rankOf(job('job-3', { deadline: seconds(1) }), seconds(9), [1, 2]),
+  );
+});
+
 test('several hundred tasks of one array cost little', () => {
   const nodes = Array.from({ length: 48 }, (_, i) => node(`m${i}`));
   const r = schedule(input({ nodes, queued: [queued(job('job-1', { tasks: 400 }))] }));
--- a/test/world/job.ts
+++ b/test/world/job.ts
@@ -32,6 +32,7 @@
   attempt: 0,
   done: new Set(),
   placed: new Map(),
+  failedOn: new Set(),
   stamp: 1,
   folded: 0,
   touched: 0,
--- a/test/world/plain-place.ts
+++ b/test/world/plain-place.ts
@@ -31,10 +31,10 @@
 };
 
 const allows = (floor: Floor, job: Job, zones: readonly string[], n: NodeState): boolean => {
-  const { types, spot, id } = job.spec;
+  const { types, spot } = job.spec;
   const v = n.view;
   if (!v.open || !zones.includes(v.zone) || (types !== null && !types.includes(v.type))) return false;
-  return !(v.spot && !spot) && !floor.avoid(id)?.has(v.id);
+  return !(v.spot && !spot) && !floor.avoid(job)?.has(v.id);
 };
 
 const choose = (
@@ -94,12 +94,12 @@
 
 export const plainFinder =
   (floor: Floor): Finder =>
-  (job, team, count) => {
+  (job, team, count, levels) => {
     const all = [...new Set([...floor.nodes.values()].map((n) => n.view.zone))].sort();
     const zones = zonesAllowed(floor, all, job);
     const groups = job.spec.oneZone ? zones.map((z) => [z]) : [zones];
     const need = room(job.spec);
-    for (const level of [0, 1, 2]) {
+    for (const level of levels) {
       const found: ZoneChoice[] = [];
       for (const g of groups) {
         const choice = choose(floor, job, team, count, g, level);
--- a/test/world/time.ts
+++ b/test/world/time.ts
@@ -98,11 +98,14 @@
     this.now = end;
   }
 
-  fork<A, E>(effect: Effect.Effect<A, E>): Fiber.RuntimeFiber<A, E> {
+  /** `host`: the machine it runs on, which may stand still. */
+  fork<A, E>(effect: Effect.Effect<A, E>, host?: Host): Fiber.RuntimeFiber<A, E> {
     return Effect.runFork(
       effect.pipe(
         Effect.withRandom(Random.make(this.seed)),
-        Effect.withClock(this.clock),
+        Effect.withClock(
+          host ? { ...this.clock, sleep: (d) => Effect.zipLeft(this.clock.sleep(d), host.pass) } : this.clock,
+        ),
         Effect.provide(Layer.mergeAll(Logger.remove(Logger.defaultLogger))),
       ),
       { scheduler: this.scheduler },
@@ -123,4 +126,33 @@
   };
 }
 
+/** A machine that may stand still: while it does, nothing on it goes on, and all that is due happens as it wakes. */
+export class Host {
+  private frozen = false;
+  private held: (() => void)[] = [];
+
+  /** Goes on at once, or when the machine wakes. */
+  readonly pass: Effect.Effect<void> = Effect.suspend(() =>
+    this.frozen
+      ? Effect.async<void>((resume) => void this.held.push(() => resume(Effect.void)))
+      : Effect.void,
+  );
+
+  /** What arrives from outside. */
+  gate<A, E>(effect: Effect.Effect<A, E>): Effect.Effect<A, E> {
+    return Effect.flatMap(Effect.exit(effect), (exit) => Effect.zipRight(this.pass, exit));
+  }
+
+  freeze(time: Time, micros: number): void {
+    if (this.frozen) return;
+    this.frozen = true;
+    time.after(micros, () => {
+      this.frozen = false;
+      const due = this.held;
+      this.held = [];
+      for (const go of due) go();
+    });
+  }
+}
+
 const before = (a: Event, b: Event): boolean => a.at < b.at || (a.at === b.at && a.order < b.order);
--- a/test/world/worker.ts
+++ b/test/world/worker.ts
@@ -66,6 +66,8 @@
     private readonly rules: Rules,
     private readonly world: GangWorld,
     private readonly timing: Timing,
+    /** Everything that runs here fails. */
+    private readonly faulty = false,
   ) {
     this.leaseFrom = time.now;
     this.drift = luck.between(-0.0005, 0.0005);
@@ -294,7 +296,7 @@
     task.status = job.shape === 'ensemble' ? 'gathering' : 'running';
     this.rules.start(task.key, this.place, this.time.now);
     this.changed();
-    if (job.broken) {
+    if (job.broken || this.faulty) {
       task.cancel = this.time.after(500_000, () => this.exit(task, 'error'));
       return;
     }
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -12,7 +12,7 @@
 import type { Settings } from '../../src/settings/settings.js';
 import { Rules } from './rules.js';
 import { StateService } from './state.js';
-import { Luck, Time } from './time.js';
+import { Host, Luck, Time } from './time.js';
 import { type JobTruth, type Net, Worker } from './worker.js';
 
 export const ZONES = ['a', 'b'];
@@ -56,6 +56,7 @@
   teams: [
     { name: 'red', guarantee: { cpus: 8, gpus: 0 }, limit: { cpus: 24, gpus: 0 } },
     { name: 'blue', guarantee: { cpus: 0, gpus: 0 }, limit: { cpus: 0, gpus: 0 } },
+    { name: 'guest', guarantee: { cpus: 0, gpus: 0 }, limit: { cpus: 0, gpus: 0 } },
   ],
   objectives: [],
   workers: {
@@ -90,6 +91,21 @@
   readonly machineDie?: boolean;
   readonly machineHang?: boolean;
   readonly cloudOutage?: boolean;
+  /** A controller stands still while its clocks run on. */
+  readonly freeze?: boolean;
+  /** Workers can't reach one controller, which everybody else can. */
+  readonly workersCut?: boolean;
+  /** Controllers can't reach one another, but everybody else. */
+  readonly peersCut?: boolean;
+  /** Machines come several times as late as they should, or never. */
+  readonly lateBoots?: boolean;
+  /** The cloud's list is older than usual. */
+  readonly oldLists?: boolean;
+  /** Jobs submitted with a mistake, and machines on which everything fails. */
+  readonly brokenJobs?: boolean;
+  readonly faultyMachines?: boolean;
+  /** A team without guarantee comes with one huge array and many tiny jobs. */
+  readonly guests?: boolean;
 }
 
 /** Sizes of a day: how many controllers, and how large jobs grow. */
@@ -118,7 +134,13 @@
   readonly workers = new Map<string, Worker>();
   readonly nodes: readonly string[];
   private readonly settings: (label: string) => Settings;
-  private readonly live = new Map<string, { node: Node; fiber: Fiber.RuntimeFiber<unknown, unknown> }>();
+  private readonly live = new Map<
+    string,
+    { node: Node; host: Host; fiber: Fiber.RuntimeFiber<unknown, unknown> }
+  >();
+  /** How often each trouble struck: one that no seed ever draws is not tested. */
+  readonly struck: Partial<Record<keyof Troubles, number>> = {};
+  private lateUntil = 0;
   private readonly hired = new Map<string, Hired>();
   private readonly hires = new Map<string, string[]>();
   private machineNo = 0;
@@ -158,17 +180,26 @@
     const rate = 1 + this.luck.between(-0.00025, 0.00025);
     const began = this.time.now;
     const clock = (): Micros => micros(offset + (this.time.now - began) * rate);
+    const host = new Host();
     const store = this.state.port(name);
     // The port stamps true time; the node reads its own clock.
     const own = new Proxy(store, {
-      get: (t, k) =>
-        k === 'lastServed' || k === 'lastRefused'
-          ? offset + ((t[k] as number) - began) * rate
-          : Reflect.get(t, k),
+      get: (t, k) => {
+        if (k === 'lastServed' || k === 'lastRefused') return offset + ((t[k] as number) - began) * rate;
+        if (k === 'leading') return t.leading;
+        const call = Reflect.get(t, k) as (...args: unknown[]) => Effect.Effect<unknown>;
+        return (...args: unknown[]) => host.gate(call(...args));
+      },
     });
+    const cloud = this.cloud();
     const node = makeNode(this.settings(name), {
       store: own,
-      cloud: this.cloud(),
+      cloud: {
+        types: () => host.gate(cloud.types()),
+        list: () => host.gate(cloud.list()),
+        hire: (h, still) => host.gate(cloud.hire(h, still)),
+        remove: (ids, still) => host.gate(cloud.remove(ids, still)),
+      },
       workers: {
         orders: (addr, body) =>
           Effect.sync(() => {
@@ -182,23 +213,32 @@
       },
       peers: {
         exchange: (peer, beat) =>
-          Effect.async((resume) => {
-            const lost = () =>
-              void this.time.after(900_000, () => resume(Effect.fail(new NoAnswer({ reason: 'timeout' }))));
-            if (this.cuts.has(name) || this.cuts.has(peer.label)) return lost();
-            this.time.after(this.delay(), () => {
-              const answer = this.live.get(peer.label)?.node.peers.receive(beat);
-              if (answer === undefined) return lost();
-              // An answer on its way may be slow: what it says is then old.
-              const slow = this.luck.chance(0.05) ? this.luck.between(0, 850_000) : this.delay();
-              this.time.after(slow, () => resume(Effect.succeed(answer)));
-            });
-          }),
+          host.gate(
+            Effect.async((resume) => {
+              const lost = () =>
+                void this.time.after(900_000, () => resume(Effect.fail(new NoAnswer({ reason: 'timeout' }))));
+              if ([name, peer.label].some((n) => this.cuts.has(n) || this.cuts.has(`peers|${n}`)))
+                return lost();
+              this.time.after(this.delay(), () => {
+                const there = this.live.get(peer.label);
+                if (!there) return lost();
+                let late = false;
+                this.time.after(900_000, () => (late = true));
+                const heard = there.host.pass.pipe(Effect.map(() => there.node.peers.receive(beat)));
+                this.time.fork(heard).addObserver((e) => {
+                  if (late || !Exit.isSuccess(e)) return lost();
+                  // An answer on its way may be slow: what it says is then old.
+                  const slow = this.luck.chance(0.05) ? this.luck.between(0, 850_000) : this.delay();
+                  this.time.after(slow, () => resume(Effect.succeed(e.value)));
+                });
+              });
+            }),
+          ),
       },
       clock,
       dayTime: () => micros(this.time.now + 1e12),
     });
-    this.live.set(name, { node, fiber: this.time.fork(node.run) });
+    this.live.set(name, { node, host, fiber: this.time.fork(node.run, host) });
   }
 
   crash(name: string, back: number): void {
@@ -211,13 +251,17 @@
 
   handle(node: string, r: Incoming): Effect.Effect<Answer> | null {
     const l = this.live.get(node);
-    return l ? l.node.handle(r) : null;
+    // It waits unread in the node's sockets while that stands still.
+    return l ? Effect.zipLeft(Effect.zipRight(l.host.pass, l.node.handle(r)), l.host.pass) : null;
+  }
+  host(node: string): Host | undefined {
+    return this.live.get(node)?.host;
   }
   delay(): number {
     return this.luck.between(200, 3000);
   }
   cut(zone: string, node: string): boolean {
-    return this.cuts.has(node) || this.cuts.has(`${zone}|${node}`);
+    return this.cuts.has(node) || this.cuts.has(`${zone}|${node}`) || this.cuts.has(`workers|${node}`);
   }
 
   private cloud(): CloudPort {
@@ -232,7 +276,7 @@
       types: () => call(() => TYPES as readonly MachineType[]),
       list: () =>
         call(() => {
-          const asOf = this.time.now - this.luck.between(0, 8e6);
+          const asOf = this.time.now - this.luck.between(0, this.troubles.oldLists ? 20e6 : 8e6);
           return [...this.hired.values()]
             .filter((h) => !h.deleted && h.at <= asOf)
             .map((h) => ({
@@ -245,8 +289,9 @@
               age: micros(asOf - h.at),
             }));
         }),
-      hire: (h) =>
+      hire: (h, still) =>
         call(() => {
+          if (!still()) return new CloudRefused({ status: 0, reason: 'no longer entitled' });
           const old = this.hires.get(h.name);
           if (old) return old;
           const have = [...this.hired.values()].filter(
@@ -266,8 +311,9 @@
           this.hires.set(h.name, ids);
           return ids;
         }),
-      remove: (ids) =>
+      remove: (ids, still) =>
         call(() => {
+          if (!still()) return new CloudRefused({ status: 0, reason: 'no longer entitled' });
           for (const id of ids) this.take(id, true);
         }),
     };
@@ -277,8 +323,11 @@
     const id = `vm-${String(++this.machineNo).padStart(6, '0')}`;
     const h: Hired = { id, type, zone, spot, at: this.time.now, status: 'booting', deleted: false };
     this.hired.set(id, h);
-    if (this.luck.chance(0.03)) return id;
-    this.time.after(type.boot * this.luck.between(0.1, 1.5), () => {
+    const trouble = this.time.now < this.lateUntil;
+    if (trouble) this.strike('lateBoots');
+    if (this.luck.chance(trouble ? 0.25 : 0.03)) return id;
+    const times = trouble ? this.luck.between(3, 8) : this.luck.between(0.1, 1.5);
+    this.time.after(type.boot * times, () => {
       if (h.deleted) return;
       h.status = 'running';
       const s = this.settings('n0').workers;
@@ -293,6 +342,7 @@
           this.rules,
           this,
           s,
+          this.troubles.faultyMachines === true && this.luck.chance(0.15) && this.strike('faultyMachines'),
         ),
       );
     });
@@ -336,7 +386,7 @@
   }
 
   /** A user: submits with retries, polls, now and then cancels, and asks again when all is over. */
-  submit(cancelAfter: number | null): void {
+  submit(cancelAfter: number | null, guest?: { readonly tasks: number; readonly cpus: number }): void {
     const l = this.luck;
     const id = `job-${String(l.int(1e9)).padStart(9, '0')}`;
     if (this.jobs.has(id)) return;
@@ -359,12 +409,25 @@
       runUs: l.between(3e6, 25e6),
       saveEvery: l.chance(0.5) ? 5e6 : 0,
       saveTakes: 2e6,
-      broken: l.chance(0.03) && cancelAfter !== null,
+      broken: l.chance(this.troubles.brokenJobs ? 0.5 : 0.03) && cancelAfter !== null,
       submitted: true,
       progress: new Map(),
       finished: new Set(),
     };
     if (job.zone !== null) (job as { spread: boolean }).spread = false;
+    if (guest) {
+      const tiny = {
+        team: 'guest',
+        shape: 'array',
+        gpus: 0,
+        types: null,
+        zone: null,
+        spread: false,
+        runUs: 4e6,
+      };
+      Object.assign(job, tiny, guest, { oneZone: false, broken: false });
+    }
+    if (job.broken) this.strike('brokenJobs');
     if (job.shape !== 'array')
       while (job.cpus > 1 && job.cpus * job.tasks > this.size.cpus) (job as { cpus: number }).cpus--;
     this.jobs.set(id, job);
@@ -372,8 +435,8 @@
       id,
       jobClass: 'x',
       owner: job.team,
-      shape,
-      urgency: ['low', 'normal', 'high', 'production'][l.int(4)],
+      shape: job.shape,
+      urgency: guest ? 'low' : ['low', 'normal', 'high', 'production'][l.int(4)],
       pieces: job.tasks,
       vcpus: job.cpus,
       accelerators: job.gpus,
@@ -385,7 +448,7 @@
       samePlace: job.oneZone,
       scatter: job.spread,
       borrowed: job.spot,
-      expectS: shape === 'daemon' ? 0 : job.runUs / 1e6,
+      expectS: job.shape === 'daemon' ? 0 : job.runUs / 1e6,
       saveEveryS: job.saveEvery / 1e6,
       saveTakesS: job.saveTakes / 1e6,
       dueS: null,
@@ -458,6 +521,11 @@
     });
   }
 
+  private strike(what: keyof Troubles): true {
+    this.struck[what] = (this.struck[what] ?? 0) + 1;
+    return true;
+  }
+
   /** Some jobs, some troubles, then a quiet time in which everything should come to its end. */
   play(jobs: number, troubled: number, quiet: number): void {
     const l = this.luck;
@@ -494,6 +562,30 @@
         this.time.after(l.between(3e6, 30e6), () => this.cuts.delete(key));
       });
     }
+    if (t.freeze) {
+      const freeze = (node: string) => {
+        this.strike('freeze');
+        this.host(node)?.freeze(this.time, l.between(1e6, 45e6));
+      };
+      kinds.push(() => freeze(pick()));
+      kinds.push(() => freeze(this.leader() ?? pick()));
+    }
+    const cutFor = (kind: 'workers' | 'peers', node: string) => {
+      this.strike(`${kind}Cut`);
+      this.cuts.add(`${kind}|${node}`);
+      this.time.after(l.between(5e6, 40e6), () => this.cuts.delete(`${kind}|${node}`));
+    };
+    if (t.workersCut) kinds.push(() => cutFor('workers', this.leader() ?? pick()));
+    if (t.peersCut) kinds.push(() => cutFor('peers', pick()));
+    if (t.lateBoots) kinds.push(() => (this.lateUntil = this.time.now + l.between(10e6, 40e6)));
+    if (t.guests) {
+      this.time.after(l.between(10e6, 40e6), () => {
+        this.strike('guests');
+        this.submit(null, { tasks: 40 * this.size.arrays, cpus: 0.25 });
+        for (let i = 0; i < 40; i++)
+          this.time.after(l.between(0, 30e6), () => this.submit(null, { tasks: 1, cpus: 0.25 }));
+      });
+    }
     const machine = () => [...this.workers.values()][l.int(Math.max(1, this.workers.size))];
     if (t.machineDie) {
       kinds.push(() => {
@@ -532,6 +624,10 @@
     }
   }
 
+  leader(): string | undefined {
+    return this.nodes.find((n) => this.live.get(n)?.node.leadership.acting());
+  }
+
   /** Accepted jobs that nobody withdrew and that are not called done. */
   unfinished(): string[] {
     return [...this.jobs.values()]
