--- a/src/node.ts
+++ b/src/node.ts
@@ -3,7 +3,7 @@
 import { route, userHandlers } from './api/handlers.js';
 import { duty } from './base/duty.js';
 import { info } from './base/log.js';
-import { type Micros, toMillis } from './base/micros.js';
+import { type Micros, seconds, toMillis } from './base/micros.js';
 import { type Answer, type Incoming, json, retryLater } from './base/http-server.js';
 import type { CloudPort } from './fleet/cloud.js';
 import { fleetDuty } from './fleet/duty.js';
@@ -20,6 +20,7 @@
 import type { StatePort } from './state-store/port.js';
 import { Book } from './workers/book.js';
 import { type Desk, receiver, reportHandler, sendUrgent, type WorkerPort } from './workers/duty.js';
+import { Places } from './workers/places.js';
 import { Relay, relayHandler, type RelayPort } from './workers/relay.js';
 
 export interface Ports {
@@ -53,6 +54,7 @@
 const SUMMARY_EVERY_MS = 10_000;
 /** No leader is known, or it does not answer: the worker tries the next node. */
 const leaderless = Effect.succeed(retryLater('no leader'));
+const NEW_LEADER = seconds(10);
 const PULSE_MS = 500;
 /** A pulse so much too late is worth a line in the log. */
 const STILL_MS = 1500;
@@ -236,6 +238,7 @@
   });
   const receive = receiver(leadership, () => desk, clock, contacts);
   const relay = new Relay(ports.relay);
+  const places = new Places(settings.label, [settings.label, ...settings.peers.map((p) => p.label)].sort());
   const leader = (): Peer | null => {
     const label = leadership.known();
     const peer = settings.peers.find((p) => p.label === label);
@@ -246,7 +249,18 @@
   return {
     handle: route(
       users,
-      reportHandler(receive, (r) => (leader() === null ? leaderless : relay.pass(r, leader))),
+      reportHandler(
+        receive,
+        (r) => (leader() === null ? leaderless : relay.pass(r, leader)),
+        (machine) => {
+          const reign = leadership.acting();
+          const at = clock();
+          // In its first seconds a leader answers all who come: being sent on would cost them time twice.
+          if (reign !== null && at - reign.began < NEW_LEADER) return null;
+          const leads = reign !== null ? settings.label : (leader()?.label ?? null);
+          return places.elsewhere(machine, leads, (n) => peers.reaches(n), at);
+        },
+      ),
       unready,
     ),
     handlePeer: (r) => {
--- a/src/scheduler/duty.ts
+++ b/src/scheduler/duty.ts
@@ -136,26 +136,18 @@
 };
 
 /**
- * Priority factors of teams, by what their jobs are promised: a start or a deadline, an end only, or nothing.
- * Teams with no guarantee and no aim come with idle-time work; at the same factor they would hold half of
- * everything before others that wait.
+ * The priority factor of a team with no guarantee whose jobs are of no class with an aim: it comes with idle-time
+ * work, and at the same factor as others it would hold half of everything before others that wait.
  */
-const PROMISED_END = 4;
 const PROMISED_NOTHING = 20;
 
 const weightsOf = (t: Turn): Map<string, number> => {
-  const named = new Map<string, number>();
-  for (const o of t.settings.objectives)
-    named.set(
-      o.jobClass,
-      Math.max(named.get(o.jobClass) ?? 0, o.kind === 'wait' || o.kind === 'deadline' ? 1 : 1 / PROMISED_END),
-    );
   const weights = new Map<string, number>();
+  const named = new Set(t.settings.objectives.map((o) => o.jobClass));
   if (named.size === 0) return weights;
   for (const { guarantee, name } of t.settings.teams)
     weights.set(name, guarantee.cpus > 0 || guarantee.gpus > 0 ? 1 : 1 / PROMISED_NOTHING);
-  for (const { spec } of t.cache.jobs.values())
-    weights.set(spec.team, Math.max(weights.get(spec.team) ?? 0, named.get(spec.jobClass) ?? 0));
+  for (const { spec } of t.cache.jobs.values()) if (named.has(spec.jobClass)) weights.set(spec.team, 1);
   return weights;
 };
 
--- a/src/workers/duty.ts
+++ b/src/workers/duty.ts
@@ -67,17 +67,20 @@
       });
     });
 
-/** The workers' address: the leader answers by itself, a follower passes the report on. */
+/** The workers' address: the leader answers by itself, a follower passes the report on, or names a better node. */
 export const reportHandler =
   (
     receive: (reports: readonly Report[]) => Effect.Effect<readonly string[] | null>,
     pass: (report: Report) => Effect.Effect<Answer>,
+    elsewhere: (machine: string) => string | null,
   ) =>
   (request: Incoming): Effect.Effect<Answer> =>
     Effect.gen(function* () {
       if (request.body === null) return json(400, { error: 'body too large' });
       const read = readReport(request.body);
       if (Either.isLeft(read)) return json(400, { error: read.left });
+      const better = elsewhere(read.right.machine);
+      if (better !== null) return json(421, { answerTo: better });
       const bodies = yield* receive([read.right]);
       return bodies === null ? yield* pass(read.right) : { status: 200, body: bodies[0]! };
     });
--- a/test/api.test.ts
+++ b/test/api.test.ts
@@ -47,7 +47,7 @@
 };
 const world = (): World => {
   const w = new World(5, {});
-  w.time.run(5e6);
+  w.time.run(15e6);
   return w;
 };
 
@@ -177,6 +177,9 @@
     recallS: null,
     pieces: [],
   };
+  // The leader names another node first, since it need not be the one that workers talk to.
+  const sent = ask(w, 'POST', '/agent/beat', beat, w.leader());
+  assert.deepEqual([sent.status, said(sent).answerTo === w.leader()], [421, false]);
   const answers = ['n0', 'n1', 'n2'].map((n) => ask(w, 'POST', '/agent/beat', beat, n));
   const token = said(answers[0]!).warrant;
   assert.ok(Number.isSafeInteger(token));
