--- a/src/fleet/duty.ts
+++ b/src/fleet/duty.ts
@@ -3,7 +3,7 @@
 import { duty } from '../base/duty.js';
 import { info } from '../base/log.js';
 import { type Micros, seconds } from '../base/micros.js';
-import type { CycleView, Turn } from '../scheduler/duty.js';
+import type { CycleView, Turn } from '../scheduler/turn.js';
 import type { Machine } from '../workers/book.js';
 import { type Awaited, Boots, countsFor, isOverdue, roomOnTheWay } from './boots.js';
 import type { CloudPort } from './cloud.js';
@@ -66,7 +66,8 @@
     for (const m of t.book.machines.values()) {
       if (m.reported) {
         if (!awaited.delete(m.id)) continue;
-        boots.came(bootKey(m), (at - m.since) as Micros, at);
+        // One that the list has called running may have been up for long, under an earlier leader.
+        if (m.runningSince === null) boots.came(bootKey(m), (at - m.since) as Micros, at);
         if (overdue.has(m.id))
           yield* info('overdue machine came', { machine: m.id, afterS: Math.round((at - m.since) / 1e6) });
       } else {
--- a/src/leadership/peers.ts
+++ b/src/leadership/peers.ts
@@ -37,8 +37,8 @@
 const EVERY_MS = 1000;
 /** How long a confirmation counts, from when it was asked for. */
 export const CONFIRM = seconds(3);
-/** A peer that has missed two beats stands still, is gone, or can't be reached. */
-const REACHED = seconds(2.2);
+/** A peer that has answered nothing for so long, beats or relayed reports, stands still, is gone, or can't be reached. */
+const REACHED = seconds(2.8);
 /** A peer's word about itself is believed for this long. */
 const FRESH = seconds(3.5);
 
@@ -52,6 +52,7 @@
 export class Peers {
   private readonly answers = new Map<string, Heard>();
   private readonly known = new Set<string>();
+  private readonly heardAt = new Map<string, Micros>();
   private highest = 0;
   private news: { readonly news: FleetNews; readonly at: Micros } | null = null;
 
@@ -101,8 +102,13 @@
 
   /** The peer has answered lately: what is sent to it has a good chance to be answered. */
   reaches(label: string): boolean {
-    const h = this.answers.get(label);
-    return h !== undefined && this.clock() - h.at < REACHED;
+    const at = this.heardAt.get(label);
+    return at !== undefined && this.clock() - at < REACHED;
+  }
+
+  /** The peer has answered something. */
+  heard(label: string): void {
+    this.heardAt.set(label, this.clock());
   }
 
   /** Peers that could lead, with the workers that reach them. */
@@ -132,25 +138,30 @@
     return n >= Math.ceil(this.settings.nodes / 2);
   }
 
-  readonly run = duty(
-    'peers',
-    Effect.suspend(() => {
-      const asked = this.clock();
-      const beat = this.beat();
-      return Effect.forEach(
-        this.settings.peers,
-        (peer) =>
-          this.port.exchange(peer, beat).pipe(
-            Effect.map((answer) => {
-              if (!this.known.has(answer.from)) return;
-              this.highest = Math.max(this.highest, answer.term);
-              this.answers.set(answer.from, { beat: answer, asked, at: this.clock() });
-            }),
-            Effect.ignore,
-          ),
-        { concurrency: 'unbounded', discard: true },
-      );
-    }).pipe(Effect.zipRight(Effect.sleep(EVERY_MS)), Effect.forever),
+  /** One exchange after another with one peer; no peer waits for another that does not answer. */
+  private exchanges(peer: Peer): Effect.Effect<never> {
+    return duty(
+      'peer',
+      Effect.suspend(() => {
+        const asked = this.clock();
+        return this.port.exchange(peer, this.beat()).pipe(
+          Effect.map((answer) => {
+            if (!this.known.has(answer.from)) return;
+            this.highest = Math.max(this.highest, answer.term);
+            this.answers.set(answer.from, { beat: answer, asked, at: this.clock() });
+            this.heard(answer.from);
+          }),
+          Effect.ignore,
+        );
+      }).pipe(Effect.zipRight(Effect.sleep(EVERY_MS)), Effect.forever),
+    );
+  }
+
+  readonly run: Effect.Effect<unknown> = Effect.suspend(() =>
+    Effect.all(
+      this.settings.peers.map((p) => this.exchanges(p)),
+      { concurrency: 'unbounded', discard: true },
+    ),
   );
 }
 
--- a/src/node.ts
+++ b/src/node.ts
@@ -14,7 +14,9 @@
 import { Contacts } from './leadership/contacts.js';
 import { Leadership, type Reign } from './leadership/leadership.js';
 import { peerHandler, type PeerPort, Peers } from './leadership/peers.js';
-import { type CycleView, summary, turn, type Turn, upkeep } from './scheduler/duty.js';
+import { summary, turn } from './scheduler/duty.js';
+import { upkeep } from './scheduler/records.js';
+import type { CycleView, Turn } from './scheduler/turn.js';
 import type { Peer, Settings } from './settings/settings.js';
 import { Priority } from './state-store/budget.js';
 import type { StatePort } from './state-store/port.js';
@@ -237,7 +239,7 @@
     dayTime: ports.dayTime,
   });
   const receive = receiver(leadership, () => desk, clock, contacts);
-  const relay = new Relay(ports.relay);
+  const relay = new Relay(ports.relay, (label) => peers.heard(label));
   const places = new Places(settings.label, [settings.label, ...settings.peers.map((p) => p.label)].sort());
   const leader = (): Peer | null => {
     const label = leadership.known();
--- a/src/scheduler/cycle.ts
+++ b/src/scheduler/cycle.ts
@@ -10,6 +10,7 @@
   add,
   type CycleInput,
   type CycleResult,
+  fits,
   type Holder,
   type Room,
   room,
@@ -24,6 +25,7 @@
   type Finder,
   type Floor,
   guardsOf,
+  strands,
   type Item,
   type NodeState,
   type TeamState,
@@ -121,6 +123,7 @@
       urgency: q.job.spec.urgency,
       rank: q.rank,
       at: 0,
+      last: null,
     });
   }
   for (const t of teams.values()) {
@@ -250,6 +253,7 @@
     if (choice === null) return false;
     const { job } = item.queued;
     take(job, team, group, choice);
+    item.last = choice.free && job.spec.shape !== 'gang' ? choice.machines[0]! : null;
     if (!choice.free) claims.set(job.spec.id, (claims.get(job.spec.id) ?? 0) + group.length);
     item.at += group.length;
     return true;
@@ -257,6 +261,20 @@
   const nextOf = (item: QueuedItem): readonly number[] =>
     item.queued.job.spec.shape === 'gang' ? item.queued.tasks : [item.queued.tasks[item.at]!];
 
+  /**
+   * The machine that took the last task of an array takes the next one while there is free room: it was the tightest
+   * fit, and is tighter now. Arrays of thousands of small tasks need one search a machine, not one a task.
+   */
+  const besideLast = (item: QueuedItem, job: Job): Choice | null => {
+    const n = item.last;
+    if (n === null || job.spec.spread) return null;
+    const need = room(job.spec);
+    if (!fits(need, n.free)) return null;
+    const after: Room = [n.free[0] - need[0], n.free[1] - need[1], n.free[2] - need[2]];
+    if (strands(guardsOf(input.companions, job), job, n.view.total, n.surplus, after)) return null;
+    return { machines: [n], victims: new Set(), free: true };
+  };
+
   /** Places the next of what `item` wants; false: there is nothing more to be had for it now. */
   const serve = (team: TeamState, item: QueuedItem): boolean => {
     const { job, tasks, cautious, rents } = item.queued;
@@ -283,7 +301,7 @@
     const choice =
       limited || (key !== '' && hopeless.has(key))
         ? null
-        : find(job, team, group.length, cautious ? FREE_ROOM : ANY_ROOM);
+        : (besideLast(item, job) ?? find(job, team, group.length, cautious ? FREE_ROOM : ANY_ROOM));
     if (!put(team, item, group, choice)) {
       if (key !== '' && !limited) hopeless.add(key);
       // More machines would not help a team at its limit.
--- a/src/scheduler/rank.ts
+++ b/src/scheduler/rank.ts
@@ -14,9 +14,19 @@
 /** What failed wherever it ran comes after all others of its urgency, in the order of submission. */
 const LAST = 1000 * BEHIND;
 
-export const rankOf = (job: Job, day: Micros, multiples: readonly number[], broken = false): number => {
-  const { deadline, estimate, submitted, tasks } = job.spec;
+/** What a class's jobs are promised, as far as it orders a queue. */
+export interface Promised {
+  /** Multiples of the job's own deadline by which it is wanted, smallest first. */
+  readonly multiples: readonly number[];
+  /** For jobs without a deadline of their own: done within this time; null: nothing is promised. */
+  readonly within: Micros | null;
+}
+
+export const rankOf = (job: Job, day: Micros, promise: Promised, broken = false): number => {
+  const { estimate, submitted, tasks } = job.spec;
   if (broken) return LAST + submitted;
+  const deadline = job.spec.deadline ?? promise.within;
+  const multiples = job.spec.deadline === null ? [1] : promise.multiples;
   if (deadline === null) return submitted;
   const left = tasks - job.done.size - job.placed.size;
   for (let i = 0; i < multiples.length; i++) {
--- /dev/null
+++ b/src/scheduler/records.ts
@@ -0,0 +1,206 @@
+/**
+ * The records of a reign: drafting and committing a turn's ends and starts, and the tidying up of what older records
+ * and jobs that are over leave behind. Every write is conditional on the term.
+ */
+import { Effect, Random } from 'effect';
+import { debug, info } from '../base/log.js';
+import { encodeChange, encodeFinal, encodeJob, encodeRecord } from '../jobs/codec.js';
+import { activeKey, finalKey, recordKey, TERM } from '../jobs/keys.js';
+import { finalState, type Job, type JobChange } from '../jobs/model.js';
+import { Priority } from '../state-store/budget.js';
+import type { Condition, Outcome, Write } from '../state-store/client.js';
+import type { Start } from './model.js';
+import type { Turn } from './turn.js';
+
+/**
+ * Records to keep before their jobs are folded. Most jobs are over before their first record is the oldest
+ * of so many: then only the record is to be deleted, and the job's key is never written again on its account.
+ */
+const TAIL = 160;
+/** Changes in one transaction of upkeep: larger ones would have to wait longer for their part of the budget. */
+const UPKEEP_OPS = 8;
+
+/** Ends and starts of one record, within the limits of one transaction. */
+interface Draft {
+  readonly jobs: Map<string, JobChange>;
+  readonly when: Condition[];
+  readonly whole: boolean;
+}
+
+const draftOf = (t: Turn, starts: readonly Start[]): Draft => {
+  const jobs = new Map<string, JobChange>();
+  const when: Condition[] = [];
+  let bytes = 2;
+  let whole = true;
+  const limit = t.settings.state.valueBytes * 0.85;
+  const mostConditions = t.settings.state.txnOps * 4 - 4;
+  const put = (id: string, c: JobChange): boolean => {
+    const size = JSON.stringify(encodeChange(c)).length + id.length + 6;
+    if (bytes + size > limit) return (whole = false);
+    bytes += size;
+    jobs.set(id, c);
+    return true;
+  };
+  for (const [id, e] of t.book.ends) {
+    const job = t.cache.jobs.get(id);
+    // A gang that completed is done as a whole, whatever else its members said.
+    const gone = [...e.gone].filter((x) => !e.done.has(x));
+    if (job) put(id, { done: [...e.done], gone, failed: gone.filter((x) => e.failed.has(x)) });
+  }
+  // The starts count on the room of every end: with one of these left out, they wait for the next record.
+  if (!whole) return { jobs, when, whole };
+  for (const s of starts) {
+    const { id } = s.job.spec;
+    if (when.length >= mostConditions) {
+      whole = false;
+      continue;
+    }
+    if (put(id, { ...jobs.get(id), start: { attempt: s.attempt, on: s.on } })) {
+      // Conditional on the job's key: a job withdrawn in this moment is not started.
+      when.push({ key: activeKey(id), stamp: s.job.stamp });
+    }
+  }
+  return { jobs, when, whole };
+};
+
+/** An outcome; `revision` null: applied, but at which revision is not known. */
+type Settled = Exclude<Outcome, { ok: true }> | { readonly ok: true; readonly revision: number | null };
+
+/**
+ * Sends one transaction until its outcome is known or the reign is over. Without right it waits: giving up
+ * in between would leave a record that may be applied and that nobody here counts with.
+ */
+const settle = (
+  t: Turn,
+  when: readonly Condition[],
+  then: readonly Write[],
+  probe: string,
+  priority = Priority.Commit,
+): Effect.Effect<Settled | null> =>
+  Effect.gen(function* () {
+    let unsure = false;
+    for (;;) {
+      if (!t.reigning()) return null;
+      if (!t.acting()) {
+        yield* Effect.sleep(100);
+        continue;
+      }
+      const r = yield* Effect.either(t.store.transact(when, then, priority, 1200));
+      if (r._tag === 'Right') {
+        // Sent before without an answer, and now its own key stands in the way: the first copy was applied.
+        if (!r.right.ok && unsure && r.right.failed.includes(probe) && !r.right.failed.includes(TERM)) {
+          return { ok: true, revision: null } as const;
+        }
+        return r.right;
+      }
+      if (r.left._tag === 'NoAnswer') unsure = true;
+      yield* Effect.sleep(60 + 80 * (yield* Random.next));
+    }
+  });
+
+export const commit = (t: Turn, starts: readonly Start[]) =>
+  Effect.gen(function* () {
+    const draft = draftOf(t, starts);
+    if (draft.jobs.size === 0) return true;
+    const seq = t.cache.lastSeq + 1;
+    const key = recordKey(seq);
+    const outcome = yield* settle(
+      t,
+      [{ key: TERM, stamp: t.reign.stamp }, { key, stamp: 0 }, ...draft.when],
+      [{ set: key, value: encodeRecord(draft.jobs) }],
+      key,
+    );
+    if (outcome === null) return false;
+    if (!outcome.ok) {
+      yield* Effect.ignore(t.feed.refresh);
+      t.book.dirty = true;
+      yield* debug('record refused', { term: t.reign.term, seq, failed: outcome.failed.join(',') });
+      return false;
+    }
+    // Without its revision it comes from the watch: whether it or a withdrawal was first decides what a job is.
+    if (outcome.revision !== null) t.cache.addRecord({ seq, stamp: outcome.revision, jobs: draft.jobs });
+    else while (!t.cache.tail.has(seq) && t.reigning()) yield* Effect.ignore(t.feed.refresh);
+    let started = 0;
+    for (const [id, c] of draft.jobs) {
+      t.book.settled(id, c.done ?? [], c.gone ?? []);
+      for (const on of c.start?.on.values() ?? []) started += on.length;
+    }
+    if (!draft.whole) t.book.dirty = true;
+    yield* debug('record', { term: t.reign.term, seq, jobs: draft.jobs.size, started });
+    return true;
+  });
+
+/** Moves jobs that are over to their final keys. Whoever writes a job's key first, withdrawal or this, wins. */
+const finish = (t: Turn) =>
+  Effect.gen(function* () {
+    const over: Job[] = [];
+    for (const job of t.cache.jobs.values()) {
+      if (finalState(job) !== null && !t.book.ends.has(job.spec.id)) over.push(job);
+      if (over.length * 2 + 2 > Math.min(t.settings.state.txnOps, UPKEEP_OPS)) break;
+    }
+    if (over.length === 0) return false;
+    const finals = over.map((job) => ({ job, id: job.spec.id, stamp: job.stamp, final: finalState(job)! }));
+    const when: Condition[] = [{ key: TERM, stamp: t.reign.stamp }];
+    const then: Write[] = [];
+    for (const f of finals) {
+      when.push({ key: activeKey(f.id), stamp: f.stamp });
+      then.push({ delete: activeKey(f.id) }, { set: finalKey(f.id), value: encodeFinal(f.final) });
+    }
+    const outcome = yield* settle(t, when, then, activeKey(finals[0]!.id), Priority.Upkeep);
+    if (outcome === null) return true;
+    // Applied or not, the watch's view decides what became of each job.
+    yield* Effect.ignore(t.feed.refresh);
+    if (outcome.ok) for (const f of finals) yield* info('job over', { job: f.id, status: f.final.status });
+    return true;
+  });
+
+/** Shortens the tail: writes the jobs of the oldest records into their own keys, then deletes the records. */
+const fold = (t: Turn) =>
+  Effect.gen(function* () {
+    if (t.cache.tail.size <= TAIL) return;
+    const upTo = t.cache.lastSeq;
+    const ops = t.settings.state.txnOps;
+    const when: Condition[] = [{ key: TERM, stamp: t.reign.stamp }];
+    const then: Write[] = [];
+    const jobs = new Set<Job>();
+    let bytes = 0;
+    const seqs = [...t.cache.tail.keys()].sort((a, b) => a - b).slice(0, -1);
+    for (const seq of seqs) {
+      const more: Job[] = [];
+      for (const id of t.cache.tail.get(seq)!.jobs.keys()) {
+        const job = t.cache.jobs.get(id);
+        if (job && job.folded < seq && !jobs.has(job)) more.push(job);
+      }
+      if (then.length + more.length + 1 > Math.min(ops, UPKEEP_OPS) && then.length > 0) break;
+      const writes: Write[] = more.map((job) => ({
+        set: activeKey(job.spec.id),
+        value: encodeJob(job, upTo),
+      }));
+      const size = JSON.stringify(writes).length;
+      if (bytes + size > 48 * 1024 && then.length > 0) break;
+      if (then.length + writes.length + 1 > ops) {
+        // More jobs than one transaction takes: fold some, the record goes later.
+        const some = writes.slice(0, ops);
+        then.push(...some);
+        for (const job of more.slice(0, ops)) when.push({ key: activeKey(job.spec.id), stamp: job.stamp });
+        break;
+      }
+      bytes += size;
+      then.push(...writes, { delete: recordKey(seq) });
+      for (const job of more) {
+        jobs.add(job);
+        when.push({ key: activeKey(job.spec.id), stamp: job.stamp });
+      }
+    }
+    if (then.length === 0) return;
+    const outcome = yield* settle(t, when, then, '', Priority.Upkeep);
+    if (outcome !== null) yield* Effect.ignore(t.feed.refresh);
+  });
+
+/** Closes jobs that are over and shortens the tail, beside the turns: these must not wait for its writes. */
+export const upkeep = (t: Turn): Effect.Effect<void> =>
+  Effect.gen(function* () {
+    if (!t.acting()) return;
+    if (yield* finish(t)) return;
+    if (t.acting()) yield* fold(t);
+  });
--- a/src/scheduler/state.ts
+++ b/src/scheduler/state.ts
@@ -47,6 +47,8 @@
   readonly rank: number;
   /** Index of the next task. */
   at: number;
+  /** The machine that took the last one, on free room. */
+  last: NodeState | null;
 }
 export type Item =
   | { readonly kind: 'evicted'; readonly unit: Evicted; readonly urgency: number; readonly rank: number }
@@ -154,10 +156,18 @@
     (job.spec.gpus === 0 && t[1] > 0 ? 4 : 0) +
     (n.view.images.has(job.spec.image) ? 0 : 0.4) +
     (n.surplus ? 8 : 0) +
-    (job.spec.spot && !n.view.spot ? 1 : 0)
+    (prefersSpot(job) === n.view.spot ? 0 : 1)
   );
 };
 
+/**
+ * Jobs that may use spot machines leave the others to those that may not. But where a task runs for long and saves
+ * nothing, a machine that is taken back costs all its work: such tasks go elsewhere first.
+ */
+const LONG = 100e6;
+const prefersSpot = (job: Job): boolean =>
+  job.spec.spot && (job.spec.checkpoint > 0 || job.spec.estimate < LONG);
+
 /** A place that promises room others are leaving, and one that displaces, rank behind any free one. */
 export const PROMISED = 100;
 export const displacing = (victims: readonly Evicted[]): number => {
--- /dev/null
+++ b/src/scheduler/turn.ts
@@ -0,0 +1,41 @@
+/** What one reign's duties share: the ports, the book, and the questions a decision must ask. */
+import type { Micros } from '../base/micros.js';
+import type { FleetNews, MachineType } from '../fleet/model.js';
+import type { JobCache } from '../jobs/cache.js';
+import type { Feed } from '../jobs/feed.js';
+import type { Reign } from '../leadership/leadership.js';
+import type { Settings } from '../settings/settings.js';
+import type { StatePort } from '../state-store/port.js';
+import type { Book } from '../workers/book.js';
+import type { Companion, CycleResult } from './model.js';
+
+export interface Turn {
+  readonly settings: Settings;
+  readonly store: StatePort;
+  readonly feed: Feed;
+  readonly cache: JobCache;
+  readonly book: Book;
+  readonly reign: Reign;
+  readonly acting: () => boolean;
+  /** Not deposed, though perhaps without right for the moment. */
+  readonly reigning: () => boolean;
+  /** Enough nodes know this term that no older leader can go on. */
+  readonly acknowledged: () => boolean;
+  readonly types: () => readonly MachineType[];
+  /** What the fleet's duty tells the followers. */
+  readonly fleet: { news: FleetNews };
+  readonly clock: () => Micros;
+  /** Time of day: deadlines count from a time of day. */
+  readonly dayTime: () => Micros;
+  /** What GPU jobs take beside each GPU, by class, as last seen. */
+  readonly companions: Map<string, Omit<Companion, 'waiting'> & { readonly seen: Micros }>;
+}
+
+export interface CycleView {
+  result: CycleResult | null;
+  /** Machines beyond need, see surplus.ts. */
+  surplus: ReadonlySet<string>;
+  companions: readonly Companion[];
+  /** How long the last turn computed. */
+  cost: number;
+}
--- /dev/null
+++ b/src/scheduler/views.ts
@@ -0,0 +1,146 @@
+/** What the cycle is given: holders, machines, queues, weights and companions as the book and the jobs have them now. */
+import { type Micros, seconds } from '../base/micros.js';
+import { isComplete } from '../jobs/model.js';
+import { endsOf } from '../workers/book.js';
+import type { Companion, Holder, NodeView, QueuedJob } from './model.js';
+import { type Promised, rankOf } from './rank.js';
+import type { Turn } from './turn.js';
+
+export const holdersOf = (t: Turn, at: Micros): Holder[] => {
+  const out: Holder[] = [];
+  for (const [machine, on] of t.cache.byMachine) {
+    const m = t.book.machines.get(machine);
+    for (const [key, p] of on) {
+      // Seen to be over: the record that says so is the one that fills its room again.
+      if (t.book.isEnding(p.job.spec.id, p.task)) continue;
+      const leaving =
+        p.job.withdrawn ||
+        t.book.stopping.has(key) ||
+        t.book.isBroken(p.job) ||
+        m === undefined ||
+        !m.confirmed;
+      const run = t.book.running.get(key);
+      const since = run ? at - run.since : 0;
+      const loss = p.job.spec.checkpoint > 0 ? Math.min(since, p.job.spec.save) : since;
+      out.push({ job: p.job, task: p.task, machine, zone: m?.zone ?? null, leaving, loss: loss as Micros });
+    }
+  }
+  return out;
+};
+
+export const nodesOf = (t: Turn, at: Micros): NodeView[] => {
+  const types = new Map(t.types().map((k) => [k.name, k]));
+  const out: NodeView[] = [];
+  for (const m of t.book.machines.values()) {
+    const k = types.get(m.type);
+    if (!k || !m.reported) continue;
+    out.push({
+      id: m.id,
+      type: m.type,
+      zone: m.zone,
+      spot: m.spot,
+      total: [k.cpus, k.gpus, k.memGb],
+      images: m.images,
+      open: t.book.open(m, at),
+    });
+  }
+  return out;
+};
+
+/**
+ * What is promised to a class's jobs. An aim on their end orders those that have none on their start: thousands of
+ * tiny jobs need not wait behind one huge array of the same team. Where a start is promised, first come goes first.
+ */
+const promiseOf = (t: Turn, jobClass: string): Promised => {
+  const aims = t.settings.objectives.filter((o) => o.jobClass === jobClass);
+  const multiples = aims.filter((o) => o.kind === 'deadline').map((o) => o.times);
+  const ends = aims.some((o) => o.kind === 'wait') ? [] : aims.filter((o) => o.kind === 'finished');
+  return {
+    multiples: multiples.length === 0 ? [1] : multiples.sort((a, b) => a - b),
+    within: ends.length === 0 ? null : (Math.min(...ends.map((o) => o.within)) as Micros),
+  };
+};
+
+/**
+ * Nothing is rented for what looks broken, unless a try has been due for so long: there may be no other machine,
+ * and a good job that met faulty ones must still get done.
+ */
+const TRIED_BY_NOW = seconds(45);
+
+/** Jobs with tasks to start, once what the book has seen to end is recorded. */
+export const queuedOf = (t: Turn, at: Micros): QueuedJob[] => {
+  const out: QueuedJob[] = [];
+  const day = t.dayTime();
+  const promises = new Map<string, Promised>();
+  // What one job's key must be able to hold.
+  const most = Math.max(50, Math.floor((t.settings.state.valueBytes * 0.5) / 12));
+  for (const job of t.cache.jobs.values()) {
+    if (job.withdrawn || isComplete(job) || at < t.book.heldUntil(job, at)) continue;
+    const ends = t.book.ends.get(job.spec.id);
+    const on = job.placed.size - (ends ? [...job.placed.keys()].filter((i) => endsOf(ends, i)).length : 0);
+    const tasks: number[] = [];
+    const broken = t.book.looksBroken(job, at);
+    const gang = job.spec.shape === 'gang';
+    if (gang || broken ? on > 0 : on + job.done.size >= job.spec.tasks) continue;
+    // Of what looks broken one task shows as much as all.
+    const room = gang ? job.spec.tasks : broken ? 1 : most - job.placed.size;
+    for (let i = 0; i < job.spec.tasks && tasks.length < room; i++) {
+      if (job.done.has(i) || ends?.done.has(i) || (job.placed.has(i) && !ends?.gone.has(i))) continue;
+      tasks.push(i);
+    }
+    if (tasks.length === 0) continue;
+    let promise = promises.get(job.spec.jobClass);
+    if (!promise) promises.set(job.spec.jobClass, (promise = promiseOf(t, job.spec.jobClass)));
+    const rank = rankOf(job, day, promise, broken);
+    const rents = !broken || at - t.book.heldUntil(job, at) > TRIED_BY_NOW;
+    out.push({ job, tasks, rank, cautious: broken, rents });
+  }
+  return out;
+};
+
+/**
+ * Priority factors of teams without a guarantee: of those whose classes have an aim on their end only, and of those with
+ * no aim at all. The latter come with idle-time work; at the same factor as others they would hold half of everything
+ * before others that wait.
+ */
+const PROMISED_END = 4;
+const PROMISED_NOTHING = 20;
+
+export const weightsOf = (t: Turn): Map<string, number> => {
+  const weights = new Map<string, number>();
+  const named = new Map<string, number>();
+  for (const o of t.settings.objectives) {
+    const soon = o.kind === 'wait' || o.kind === 'deadline';
+    named.set(o.jobClass, Math.max(named.get(o.jobClass) ?? 0, soon ? 1 : 1 / PROMISED_END));
+  }
+  if (named.size === 0) return weights;
+  for (const { guarantee, name } of t.settings.teams)
+    weights.set(name, guarantee.cpus > 0 || guarantee.gpus > 0 ? 1 : 1 / PROMISED_NOTHING);
+  for (const { spec } of t.cache.jobs.values())
+    weights.set(spec.team, Math.max(weights.get(spec.team) ?? 0, named.get(spec.jobClass) ?? 0));
+  return weights;
+};
+
+/** A class of GPU jobs counts for this long after its last job was there: the next one is likely to come. */
+const REMEMBERED = 300e6;
+
+export const companionsOf = (t: Turn, at: Micros): Companion[] => {
+  const waiting = new Set<string>();
+  for (const job of t.cache.jobs.values()) {
+    const { spec } = job;
+    if (spec.gpus === 0) continue;
+    if (!job.withdrawn && job.done.size + job.placed.size < spec.tasks) waiting.add(spec.jobClass);
+    const slack = spec.deadline === null ? 0 : Math.max(0, spec.deadline - spec.estimate);
+    const known = t.companions.get(spec.jobClass);
+    t.companions.set(spec.jobClass, {
+      urgency: spec.urgency,
+      cpusPerGpu: spec.cpus / spec.gpus,
+      memPerGpu: spec.memGb / spec.gpus,
+      patience: Math.min(known?.patience ?? Number.POSITIVE_INFINITY, slack / 2) as Micros,
+      seen: at,
+    });
+  }
+  return [...t.companions]
+    .filter(([, c]) => at - c.seen < REMEMBERED)
+    .map(([jobClass, c]) => ({ ...c, waiting: waiting.has(jobClass) }));
+};
--- a/src/workers/duty.ts
+++ b/src/workers/duty.ts
@@ -3,7 +3,7 @@
 import { Effect, Either } from 'effect';
 import { type Answer, type Incoming, json } from '../base/http-server.js';
 import { HttpClient } from '../base/http-client.js';
-import type { Micros } from '../base/micros.js';
+import { type Micros, seconds } from '../base/micros.js';
 import type { Contacts } from '../leadership/contacts.js';
 import type { Leadership } from '../leadership/leadership.js';
 import type { Settings } from '../settings/settings.js';
@@ -41,6 +41,8 @@
   readonly nextTurn: Effect.Effect<void>;
 }
 
+const NEW_TERM = seconds(3);
+
 /** Takes reports in, wherever they came to, and says what their answers are; null: this node does not lead. */
 export const receiver =
   (leadership: Leadership, desk: () => Desk | null, clock: () => Micros, contacts: Contacts) =>
@@ -56,7 +58,9 @@
       const machines = reports.map((r) => d.book.report(r, clock()));
       // A turn that a report calls for is waited for, shortly: the freed room's new start then goes
       // out at once instead of a report later.
-      if (d.book.dirty && leadership.acting() !== null) yield* d.nextTurn;
+      // Not in a term's first seconds: all leases want renewing then, and the first turns are the longest.
+      const settled = clock() - reign.began > NEW_TERM;
+      if (d.book.dirty && settled && leadership.acting() !== null) yield* d.nextTurn;
       const still = leadership.answering();
       if (still === null || still.term !== reign.term) return null;
       return machines.map((m, i) => {
--- a/src/workers/relay.ts
+++ b/src/workers/relay.ts
@@ -39,7 +39,10 @@
   private flying = 0;
   private armed = false;
 
-  constructor(private readonly port: RelayPort) {}
+  constructor(
+    private readonly port: RelayPort,
+    private readonly heard: (label: string) => void,
+  ) {}
 
   /** The leader's answer to a report; 503 at once when it can't be had. */
   pass(report: Report, leader: () => Peer | null): Effect.Effect<Answer> {
@@ -78,7 +81,10 @@
       const batch = this.waiting.splice(0, MOST);
       this.flying++;
       return this.port.relay(peer, Buffer.from(pack(batch.map((w) => w.report)))).pipe(
-        Effect.map((body) => readAnswers(body, batch.length)),
+        Effect.map((body) => {
+          this.heard(peer.label);
+          return readAnswers(body, batch.length);
+        }),
         Effect.orElseSucceed(() => null),
         Effect.flatMap((answers) => {
           this.flying--;
--- a/test/contacts.test.ts
+++ b/test/contacts.test.ts
@@ -1,8 +1,10 @@
 /** When a leader gives way because workers don't reach it. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { pack } from 'msgpackr';
 import { type Micros, plus, seconds } from '../src/base/micros.js';
 import { Contacts } from '../src/leadership/contacts.js';
+import { readBeat } from '../src/leadership/peers.js';
 import { worldSettings } from './world/world.js';
 
 const ZERO = 0 as Micros;
@@ -54,3 +56,22 @@
   const times = [0, 60, 120, 180, 240, 900].map((s) => c.away(seconds(s)) / 1e6);
   assert.deepEqual(times, [20, 40, 80, 160, 160, 20]);
 });
+
+// A malformed beat once ended the connection's request with a defect, and an answer like it the duty.
+test('what is no beat is passed over, whatever it is', () => {
+  const beat = { from: 'n1', term: 3, served: true, loaded: true, contacts: 4 };
+  assert.deepEqual(readBeat(Buffer.from(pack(beat))), beat);
+  const bad: unknown[] = [
+    null,
+    7,
+    [],
+    {},
+    { ...beat, term: 'x' },
+    { ...beat, term: 2 ** 60 },
+    { ...beat, news: 1 },
+  ];
+  for (const b of bad) assert.equal(readBeat(Buffer.from(pack(b))), null, JSON.stringify(b));
+  const whole = Buffer.from(pack(beat));
+  for (const cut of [0, 1, 5, whole.length - 1]) assert.equal(readBeat(whole.subarray(0, cut)), null);
+  assert.equal(readBeat(Buffer.from([0xc1, 0xff, 0x00])), null);
+});
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { type Micros, seconds } from '../src/base/micros.js';
+import { type Awaited, Boots, countsFor, isOverdue, roomOnTheWay } from '../src/fleet/boots.js';
 import { type Offer, type PlanInput, type Rental, rentals, returns } from '../src/fleet/plan.js';
 import type { Job, JobSpec } from '../src/jobs/model.js';
 import { job as anyJob } from './world/job.js';
@@ -125,3 +126,47 @@
     ['m1'],
   );
 });
+
+const on = (ageS: number, runningForS: number | null = null): Awaited => ({
+  age: seconds(ageS),
+  boot: seconds(30),
+  runningFor: runningForS === null ? null : seconds(runningForS),
+});
+
+// Work that "had" a machine on its way waited for it until it was given up after 150 s.
+test('a machine counts for less the longer it is overdue, and never is a second fleet rented for late ones', () => {
+  assert.deepEqual([on(0), on(45), on(75), on(105), on(400)].map(countsFor), [1, 1, 0.5, 0, 0]);
+  // Up early, as the cloud has it, and its worker silent; a new leader counts from when it first saw it so.
+  assert.deepEqual([on(200, 5), on(200, 25), on(200, 60)].map(countsFor), [1, 0.5, 0]);
+  assert.deepEqual([on(45), on(46)].map(isOverdue), [false, true]);
+  const all = (n: number, ageS: number) => Array.from({ length: n }, () => on(ageS));
+  assert.deepEqual(
+    [20, 60, 75, 200].map((age) => roomOnTheWay(all(10, age))),
+    [10, 8, 5, 5],
+  );
+  assert.deepEqual(
+    [20, 74, 90].map((age) => roomOnTheWay(all(1, age))),
+    [1, 1, 0],
+  );
+});
+
+test('offers whose machines come late are the last choice, and late ones are waited for as they come', () => {
+  const boots = new Boots();
+  const boot = seconds(30);
+  const at = (s: number) => seconds(s) as Micros;
+  assert.equal(boots.late('c8|a', boot, 1, at(60)), false);
+  assert.equal(boots.late('c8|a', boot, 2, at(60)), true, 'none has come, and two should have');
+  for (const s of [40, 100, 110]) boots.came('c8|a', at(s), at(120));
+  assert.equal(boots.late('c8|a', boot, 0, at(130)), true);
+  assert.equal(boots.late('c8|b', boot, 0, at(130)), false);
+  assert.equal(boots.late('c8|a', boot, 0, at(500)), false, 'forgotten by and by');
+  assert.equal(boots.givenUpAfter('c8|b', boot, at(130)), at(150));
+  for (let i = 0; i < 3; i++) boots.came('c8|a', at(140), at(200));
+  assert.equal(boots.givenUpAfter('c8|a', boot, at(210)), at(210));
+  const late = (o: Offer) => o.zone === 'a';
+  assert.deepEqual(plan({ demand: [{ job: job(), count: 3 }], late }), [
+    { type: 'c8', zone: 'b', spot: false, count: 2 },
+  ]);
+  const only = { demand: [{ job: job({ zone: 'a' }), count: 3 }], late };
+  assert.equal(plan(only)[0]?.count, 2, 'better late than never');
+});
--- a/test/scheduler.test.ts
+++ b/test/scheduler.test.ts
@@ -9,7 +9,7 @@
 import { surplusOf } from '../src/scheduler/surplus.js';
 import { job } from './world/job.js';
 import { plainFinder } from './world/plain-place.js';
-import { rankOf } from '../src/scheduler/rank.js';
+import { type Promised, rankOf } from '../src/scheduler/rank.js';
 
 const ZERO = 0 as Micros;
 const node = (id: string, over: Partial<NodeView> = {}): NodeView => ({
@@ -50,6 +50,7 @@
   leaving,
   loss: ZERO,
 });
+const by = (...multiples: number[]): Promised => ({ multiples, within: null });
 const count = (r: CycleResult, id: string): number =>
   r.starts.filter((s) => s.job.spec.id === id).reduce((n, s) => n + [...s.on.values()].flat().length, 0);
 
@@ -352,7 +353,7 @@
   assert.deepEqual([cautious.starts, cautious.stops, cautious.unplaced], [[], [], []]);
   assert.equal(count(schedule(input({ nodes: [node('m')], queued: [queued(urgent, 0, true)] })), 'job-2'), 1);
   assert.ok(
-    rankOf(urgent, ZERO, [1], true) > rankOf(job('job-3', { deadline: seconds(1) }), seconds(9), [1, 2]),
+    rankOf(urgent, ZERO, by(1), true) > rankOf(job('job-3', { deadline: seconds(1) }), seconds(9), by(1, 2)),
   );
 });
 
@@ -385,7 +386,35 @@
   const s = (n: number): Micros => (n * 1e6) as Micros;
   const late = job('job-1', { submitted: s(0), deadline: s(100) });
   const timely = job('job-2', { submitted: s(90), deadline: s(100), tasks: 9, estimate: s(20) });
-  assert.ok(rankOf(late, s(50), [1]) < rankOf(timely, s(50), [1]), 'least work left first');
-  assert.ok(rankOf(late, s(101), [1]) > rankOf(timely, s(101), [1]));
-  assert.ok(rankOf(late, s(101), [1, 1.75]) < rankOf(late, s(176), [1, 1.75]));
+  assert.ok(rankOf(late, s(50), by(1)) < rankOf(timely, s(50), by(1)), 'least work left first');
+  assert.ok(rankOf(late, s(101), by(1)) > rankOf(timely, s(101), by(1)));
+  assert.ok(rankOf(late, s(101), by(1, 1.75)) < rankOf(late, s(176), by(1, 1.75)));
+});
+
+// 552 tiny jobs waited a minute and more behind one array of 25,000 tasks of the same team, submitted before them.
+test('jobs promised an end only go by the work they have left, and before those promised nothing', () => {
+  const within: Promised = { multiples: [1], within: seconds(400) };
+  const huge = job('job-1', { tasks: 25_000, estimate: seconds(3), submitted: seconds(1) });
+  const tiny = job('job-2', { estimate: seconds(150), submitted: seconds(2) });
+  const idle = job('job-3', { estimate: seconds(1), submitted: ZERO });
+  const ranks = [
+    rankOf(tiny, seconds(9), within),
+    rankOf(huge, seconds(9), within),
+    rankOf(idle, seconds(9), by(1)),
+  ];
+  assert.ok(ranks[0]! < ranks[1]!);
+  // Times of submission are times of day.
+  const day = { ...idle, spec: { ...idle.spec, submitted: seconds(1_790_000_000) } };
+  assert.ok(ranks[1]! < rankOf(day, seconds(9), by(1)));
+});
+
+// A fifth of the tiny jobs of 150 s lost their work on spot machines, some of them twice.
+test('long tasks that save nothing go to spot machines last, others that may go there first', () => {
+  const nodes = [node('m'), node('s', { spot: true })];
+  const where = (over: Partial<JobSpec>): string =>
+    [...schedule(input({ nodes, queued: [queued(job('job-1', over))] })).starts[0]!.on.keys()][0]!;
+  assert.equal(where({ estimate: seconds(20) }), 's');
+  assert.equal(where({ estimate: seconds(150) }), 'm');
+  assert.equal(where({ estimate: seconds(150), checkpoint: seconds(15) }), 's');
+  assert.equal(where({ estimate: seconds(20), spot: false }), 'm');
 });
