Late machines are kept while work waits that could use them

Ruled out: the fading itself (the same number is rented), the give-up (150 s). An overdue machine is returned now only when no work waits that could use its type. Test: typesWanted in fleet.test.ts.

--- a/src/fleet/duty.ts
+++ b/src/fleet/duty.ts
@@ -7,7 +7,7 @@
 import type { Machine } from '../workers/book.js';
 import { type Awaited, Boots, countsFor, isOverdue, roomOnTheWay } from './boots.js';
 import type { CloudPort } from './cloud.js';
-import { type Bin, type Demand, type Idle, type Offer, rentals, returns } from './plan.js';
+import { type Bin, type Demand, type Idle, type Offer, rentals, returns, typesWanted } from './plan.js';
 
 /** A refusal for want of capacity is believed for this long. */
 const REFUSED_FOR = seconds(12);
@@ -38,6 +38,8 @@
   const bootOf = (type: string): Micros => t.types().find((k) => k.name === type)?.boot ?? ANY_BOOT;
   let hires = 0;
   let needed: ReadonlySet<string> = new Set();
+  /** Types of machine that some waiting work could use. */
+  let wanted: ReadonlySet<string> = new Set();
   let listedOnce = false;
   let lastList = Number.NEGATIVE_INFINITY;
   const listEvery = Math.max(3e6, 1e6 / (t.settings.cloud.rps * 0.2));
@@ -138,7 +140,9 @@
       else if (!m.reported) {
         if (at - m.since > boots.givenUpAfter(bootKey(m), bootOf(m.type), at) && at - t.reign.began > SETTLED)
           stuck.push(m.id);
-        else if (!overdue.has(m.id) || needed.has(m.id) || on > 0) unneeded.delete(m.id);
+        // While work waits that could use it, a late machine may still come before its replacement.
+        else if (!overdue.has(m.id) || needed.has(m.id) || wanted.has(m.type) || on > 0)
+          unneeded.delete(m.id);
         else if (!unneeded.has(m.id)) unneeded.set(m.id, at);
         else if (at - unneeded.get(m.id)! > UNNEEDED) surplus.push(m.id);
       } else if (
@@ -221,6 +225,7 @@
       most: 40,
     });
     needed = plan.needed;
+    wanted = typesWanted(t.types(), demand);
     for (const w of plan.rent) {
       if (!t.acting()) return;
       // A name is never used again: it carries the term, which only one node ever holds.
--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -171,3 +171,17 @@
 /** Empty machines to give back: idle long enough, past what is charged anyway, and wanted by nobody. */
 export const returns = (idle: readonly Idle[], patience: (o: Idle) => Micros): string[] =>
   idle.filter((m) => m.idleFor >= patience(m) && m.age >= seconds(55)).map((m) => m.id);
+
+/** Types of machine that some waiting work could use, were more of them there. */
+export const typesWanted = (types: readonly MachineType[], demand: readonly Demand[]): Set<string> =>
+  new Set(
+    types
+      .filter((k) =>
+        demand.some(
+          ({ job: { spec } }) =>
+            (spec.types === null || spec.types.includes(k.name)) &&
+            fits(room(spec), [k.cpus, k.gpus, k.memGb]),
+        ),
+      )
+      .map((k) => k.name),
+  );
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test';
 import { type Micros, seconds } from '../src/base/micros.js';
 import { type Awaited, Boots, countsFor, isOverdue, roomOnTheWay } from '../src/fleet/boots.js';
-import { type Offer, type PlanInput, type Rental, rentals, returns } from '../src/fleet/plan.js';
+import { type Offer, type PlanInput, type Rental, rentals, returns, typesWanted } from '../src/fleet/plan.js';
 import type { Job, JobSpec } from '../src/jobs/model.js';
 import { job as anyJob } from './world/job.js';
 import { TYPES } from './world/world.js';
@@ -170,3 +170,19 @@
   const only = { demand: [{ job: job({ zone: 'a' }), count: 3 }], late };
   assert.equal(plan(only)[0]?.count, 2, 'better late than never');
 });
+
+// Machines four times as late as usual were returned as not needed shortly before they came, since replacements were on
+// their way, and these were as late: on such a day next to nothing ever ran.
+test('a late machine is wanted while any waiting work could use its type', () => {
+  const wanted = (...jobs: Job[]) => [
+    ...typesWanted(
+      TYPES,
+      jobs.map((j) => ({ job: j, count: 1 })),
+    ),
+  ];
+  assert.deepEqual(wanted(), []);
+  assert.deepEqual(wanted(job({ gpus: 1 })), ['g4']);
+  assert.deepEqual(wanted(job({ types: ['c8'] })), ['c8']);
+  assert.deepEqual(wanted(job({ cpus: 8, memGb: 40 }), job({ cpus: 99 })), ['g4']);
+  assert.deepEqual(wanted(job()), ['c8', 'g4']);
+});
