--- a/src/fleet/plan.ts
+++ b/src/fleet/plan.ts
@@ -41,6 +41,11 @@
   readonly refused: (o: Offer) => boolean;
   /** Machines of this offer come up late at present: the last choice. */
   readonly late: (o: Offer) => boolean;
+  /**
+   * Machines a job should avoid, because it failed there; null: none. Counted as its room, such a machine kept a gang
+   * that had to spread waiting for ever: nothing was rented for it, and the machine was not returned.
+   */
+  readonly avoid: (job: Job) => ReadonlySet<string> | null;
   /** Machines of each type that may be rented in one step. */
   readonly most: number;
 }
@@ -101,6 +106,7 @@
     (job.spec.zone === null || job.spec.zone === b.zone) &&
     (job.spec.types === null || job.spec.types.includes(b.type)) &&
     (!b.spot || job.spec.spot) &&
+    !(b.id !== undefined && input.avoid(job)?.has(b.id)) &&
     !strands(guards, job, totalOf(b.type), b.id !== undefined && input.surplus.has(b.id), [
       b.free[0] - need[0],
       b.free[1] - need[1],
--- a/src/jobs/cache.ts
+++ b/src/jobs/cache.ts
@@ -41,6 +41,8 @@
   /** The machine types as last written by a leader: a node that restarts while the cloud is down knows them. */
   types: unknown = null;
   onJobs: () => void = () => undefined;
+  /** The leader's key is gone. */
+  onVacant: () => void = () => undefined;
 
   /** Starts again from a listing; changes after `revision` must follow before the view is used. */
   load(entries: readonly Entry[], revision: number): void {
@@ -73,6 +75,7 @@
       if (c.value !== undefined) this.rememberFinal(c.key.slice(FINAL.length), decodeFinal(c.value));
     } else if (c.key === LEADER) {
       this.leader = c.value === undefined ? null : (c.value as LeaderEntry);
+      if (this.leader === null) this.onVacant();
     } else if (c.key === TYPES) {
       this.types = c.value ?? null;
     } else if (c.key === TERM && c.value !== undefined) {
--- a/src/jobs/feed.ts
+++ b/src/jobs/feed.ts
@@ -5,14 +5,14 @@
 import { Deferred, Effect } from 'effect';
 import { duty } from '../base/duty.js';
 import { info } from '../base/log.js';
-import { type Micros, toMillis } from '../base/micros.js';
+import { type Micros, millis, toMillis } from '../base/micros.js';
 import type { Entry, StateFailure } from '../state-store/client.js';
 import type { StatePort } from '../state-store/port.js';
 import type { JobCache } from './cache.js';
 import { ACTIVE, LEADER, RECORD, ROOT, TERM, TYPES } from './keys.js';
 
 /** Between two shared reads, so that polls cannot eat the request budget. */
-const READ_GAP = 160_000;
+const READ_GAP = { leader: millis(160), follower: millis(400) };
 /** Between two answers of the watch: a leader acts on what it brings, the others only keep up. */
 const WATCH_GAP_MS = { leader: 120, follower: 400 };
 const WATCH_MS = 3000;
@@ -37,7 +37,7 @@
     return Effect.flatMap(Deferred.make<void, StateFailure>(), (made) => {
       if (this.batch) return Deferred.await(this.batch);
       this.batch = made;
-      const wait = toMillis(this.lastRead + READ_GAP - this.clock());
+      const wait = toMillis(this.lastRead + READ_GAP[this.part()] - this.clock());
       return Effect.sleep(wait).pipe(
         Effect.zipRight(
           Effect.suspend(() => {
@@ -116,12 +116,20 @@
 
   readonly run = duty(
     'watch',
-    Effect.suspend(() => this.read(this.loaded ? WATCH_MS : 0)).pipe(
-      Effect.matchEffect({
-        onSuccess: () => Effect.sleep(this.leading() ? WATCH_GAP_MS.leader : WATCH_GAP_MS.follower),
-        onFailure: () => Effect.sleep(400),
-      }),
-      Effect.forever,
-    ),
+    Effect.suspend(() => {
+      // Shared reads for users keep a follower up as well as its watch would: one of the two is enough.
+      const left = this.readAsOf + millis(WATCH_GAP_MS.follower) - this.clock();
+      if (this.loaded && !this.leading() && left > 0) return Effect.sleep(toMillis(left));
+      return this.read(this.loaded ? WATCH_MS : 0).pipe(
+        Effect.matchEffect({
+          onSuccess: () => Effect.sleep(WATCH_GAP_MS[this.part()]),
+          onFailure: () => Effect.sleep(400),
+        }),
+      );
+    }).pipe(Effect.forever),
   );
+
+  private part(): 'leader' | 'follower' {
+    return this.leading() ? 'leader' : 'follower';
+  }
 }
--- a/src/leadership/leadership.ts
+++ b/src/leadership/leadership.ts
@@ -41,6 +41,7 @@
   private readonly begun = Effect.runSync(Queue.sliding<void>(1));
   /** Completes when a reign has begun, or now and then. */
   readonly awaitReign = Queue.take(this.begun).pipe(Effect.timeoutOption(1000), Effect.asVoid);
+  private readonly vacant = Effect.runSync(Queue.sliding<void>(1));
   /** Since when this node has left a vacant lead to a better placed peer. */
   private vacantSince: Micros | null = null;
 
@@ -53,6 +54,7 @@
     private readonly contacts: Contacts,
     private readonly clock: () => Micros,
   ) {
+    cache.onVacant = () => Queue.unsafeOffer(this.vacant, undefined);
     this.ttl = Math.min(seconds(4), Math.max(seconds(2.5), settings.workers.lease / 5)) as Micros;
   }
 
@@ -199,7 +201,10 @@
         yield* Effect.sleep(toMillis(this.ttl / 5));
       } else {
         yield* this.campaign.pipe(Effect.catchAll(() => Effect.void));
-        yield* Effect.sleep(150 + 100 * (yield* Random.next));
+        // While another leads there is nothing to try for; the feed tells when its key is gone.
+        yield* this.cache.leader === null
+          ? Effect.sleep(150 + 100 * (yield* Random.next))
+          : Queue.take(this.vacant).pipe(Effect.timeoutOption(1000));
       }
     }).pipe(Effect.forever),
   );
--- a/src/node.ts
+++ b/src/node.ts
@@ -52,8 +52,12 @@
 
 /** Between two turns: each costs writes of a budget that all controllers share. */
 const TURN_GAP_MS = 250;
-/** A turn's computing takes at most about this part of the node's time: reports, leases and users share it. */
-const TURN_PART = 1 / 4;
+/**
+ * A turn's computing takes at most about a twelfth of the node's time, since nobody sees tasks start a few tenths of a
+ * second later; but turns that take long come this often all the same, up to a quarter of the time.
+ */
+const TURN_PART = { usual: 1 / 12, most: 1 / 4 };
+const LONG_GAP_MS = 800;
 const TURN_EVERY_MS = 1000;
 const UPKEEP_GAP_MS = 200;
 /** A report waits at most so long for a turn. */
@@ -69,6 +73,14 @@
 const STILL_MS = 1500;
 const NO_NEWS: FleetNews = { rented: [], removed: [] };
 
+/** From the end of a turn to the next one's begin, after one that computed for `costMs`. */
+export const turnGapMs = (costMs: number): number =>
+  Math.max(
+    TURN_GAP_MS,
+    Math.min(LONG_GAP_MS, costMs * (1 / TURN_PART.usual - 1)),
+    costMs * (1 / TURN_PART.most - 1),
+  );
+
 export const makeNode = (settings: Settings, ports: Ports): Node => {
   const { store, clock } = ports;
   const cache = new JobCache();
@@ -201,7 +213,7 @@
           Effect.ensuring(Effect.sync(() => gate.open())),
         );
         if (t.acting()) yield* sendUrgent(book, ports.workers);
-        yield* Effect.sleep(Math.max(TURN_GAP_MS, toMillis(view.cost * (1 / TURN_PART - 1))));
+        yield* Effect.sleep(turnGapMs(toMillis(view.cost)));
       }).pipe(Effect.forever);
       const tidy = duty(
         'upkeep',
--- a/src/scheduler/cycle.ts
+++ b/src/scheduler/cycle.ts
@@ -21,7 +21,7 @@
 import { finder } from './place.js';
 import {
   type Choice,
-  type Evicted,
+  Evicted,
   type Finder,
   type Floor,
   guardsOf,
@@ -54,6 +54,7 @@
         [0, 0, 0],
       ],
       surplus: input.surplus.has(view.id),
+      version: 0,
     });
     add(total, view.total);
   }
@@ -68,6 +69,7 @@
         held: [0, 0, 0],
         queue: [],
         next: 0,
+        share: null,
       };
       teams.set(name, t);
     }
@@ -81,8 +83,10 @@
   const lostSight = new Set<Job>();
   const evict = (job: Job, members: readonly Holder[]): void => {
     const team = teamOf(job.spec.team);
-    const unit: Evicted = { team, job, members, loss: Math.max(...members.map((m) => m.loss)), out: false };
     const need = room(job.spec);
+    const k = members.length;
+    const size: Room = k === 1 ? need : [need[0] * k, need[1] * k, need[2] * k];
+    const unit = new Evicted(team, job, members, need, size);
     for (const m of members) {
       const n = nodes.get(m.machine);
       n?.evicted.add(unit);
@@ -143,11 +147,12 @@
   const stops: Stop[] = [];
   const unplaced: Unplaced[] = [];
   const claims = new Map<string, number>();
-  /** Shapes of task that found no room in this cycle: what fails once fails again. */
-  const hopeless = new Set<string>();
+  /** Shapes of task that found no room in this cycle, and how many of them: what fails once fails again. */
+  const hopeless = new Map<string, number>();
 
   const sizeOf = (item: Item): Room => {
-    const job = item.kind === 'evicted' ? item.unit.job : item.queued.job;
+    if (item.kind === 'evicted') return item.unit.size;
+    const { job } = item.queued;
     const count = job.spec.shape === 'gang' ? job.spec.tasks : 1;
     const need = room(job.spec);
     return [need[0] * count, need[1] * count, need[2] * count];
@@ -174,19 +179,21 @@
 
   const displace = (unit: Evicted): void => {
     unit.out = true;
-    const need = room(unit.job.spec);
+    const { need } = unit;
     for (const m of unit.members) {
       const n = nodes.get(m.machine);
       if (n) {
         n.evicted.delete(unit);
         add(n.evictedRoom[unit.job.spec.urgency]!, need, -1);
         add(n.leaving, need);
+        n.version++;
       }
       stops.push({ job: unit.job, task: m.task, machine: m.machine });
     }
   };
 
   const NONE: Room = [0, 0, 0];
+  const NOBODY: ReadonlySet<Evicted> = new Set();
   const floor: Floor = {
     nodes,
     zonesHeld,
@@ -203,7 +210,8 @@
     for (const v of choice.victims) {
       if (v.out) continue;
       // A unit that was already refilled gives back what was counted for it.
-      if (returned.has(v)) add(v.team.used, need3(v), -1);
+      if (returned.has(v)) add(v.team.used, v.size, -1);
+      v.team.share = null;
       displace(v);
     }
     let start = starts.get(job);
@@ -216,6 +224,7 @@
     tasks.forEach((task, i) => {
       const n = choice.machines[i]!;
       add(n.free, need, -1);
+      n.version++;
       add(team.used, need);
       add(team.held, need);
       zones.set(n.view.zone, (zones.get(n.view.zone) ?? 0) + 1);
@@ -237,10 +246,6 @@
       }
     }
   };
-  const need3 = (u: Evicted): Room => {
-    const r = room(u.job.spec);
-    return [r[0] * u.members.length, r[1] * u.members.length, r[2] * u.members.length];
-  };
   const returned = new Set<Evicted>();
 
   /** Places `group`, the next tasks of `item`, and says whether there was room. */
@@ -253,7 +258,10 @@
     if (choice === null) return false;
     const { job } = item.queued;
     take(job, team, group, choice);
-    item.last = choice.free && job.spec.shape !== 'gang' ? choice.machines[0]! : null;
+    item.last =
+      choice.victims.size === 0 && job.spec.shape !== 'gang'
+        ? { n: choice.machines[0]!, free: choice.free }
+        : null;
     if (!choice.free) claims.set(job.spec.id, (claims.get(job.spec.id) ?? 0) + group.length);
     item.at += group.length;
     return true;
@@ -262,17 +270,19 @@
     item.queued.job.spec.shape === 'gang' ? item.queued.tasks : [item.queued.tasks[item.at]!];
 
   /**
-   * The machine that took the last task of an array takes the next one while there is free room: it was the tightest
-   * fit, and is tighter now. Arrays of thousands of small tasks need one search a machine, not one a task.
+   * The machine that took the last task of an array takes the next one while there is room of the same kind, free or
+   * promised: it was the tightest fit, and is tighter now. Arrays of thousands of small tasks need one search a machine,
+   * not one a task. Free room that the last one did not find is not there now either.
    */
   const besideLast = (item: QueuedItem, job: Job): Choice | null => {
-    const n = item.last;
-    if (n === null || job.spec.spread) return null;
+    if (item.last === null || job.spec.spread) return null;
+    const { n, free } = item.last;
     const need = room(job.spec);
-    if (!fits(need, n.free)) return null;
     const after: Room = [n.free[0] - need[0], n.free[1] - need[1], n.free[2] - need[2]];
     if (strands(guardsOf(input.companions, job), job, n.view.total, n.surplus, after)) return null;
-    return { machines: [n], victims: new Set(), free: true };
+    if (!free) add(after, n.leaving);
+    if (!fits(NONE, after)) return null;
+    return { machines: [n], victims: NOBODY, free };
   };
 
   /** Places the next of what `item` wants; false: there is nothing more to be had for it now. */
@@ -281,9 +291,9 @@
     const gang = job.spec.shape === 'gang';
     const group = nextOf(item);
     const { spec } = job;
-    // What is cautious looks for less than others of its shape.
+    // What is cautious looks for less than others of its shape, and what failed somewhere is not sent there again.
     const key =
-      gang || cautious
+      cautious || (gang && input.avoid(job) !== null)
         ? ''
         : [
             spec.team,
@@ -294,16 +304,17 @@
             spec.types,
             spec.zone,
             spec.spot,
-            spec.spread || spec.oneZone ? spec.id : '',
+            gang ? `${spec.oneZone}${spec.spread}` : spec.spread || spec.oneZone ? spec.id : '',
             spec.gpus > 0 ? '' : guardsOf(input.companions, job).length,
           ].join('|');
     const limited = overLimit(team, sizeOf(item));
     const choice =
-      limited || (key !== '' && hopeless.has(key))
+      limited || (key !== '' && group.length >= (hopeless.get(key) ?? Number.POSITIVE_INFINITY))
         ? null
         : (besideLast(item, job) ?? find(job, team, group.length, cautious ? FREE_ROOM : ANY_ROOM));
     if (!put(team, item, group, choice)) {
-      if (key !== '' && !limited) hopeless.add(key);
+      if (key !== '' && !limited)
+        hopeless.set(key, Math.min(group.length, hopeless.get(key) ?? Number.POSITIVE_INFINITY));
       // More machines would not help a team at its limit.
       if (!limited && rents) unplaced.push({ job, count: gang ? tasks.length : tasks.length - item.at });
       return false;
@@ -330,21 +341,25 @@
     let team: TeamState | null = null;
     let smallest = Number.POSITIVE_INFINITY;
     for (const t of teams.values()) {
-      while (t.next < t.queue.length && over.has(t.queue[t.next]!)) t.next++;
+      while (t.next < t.queue.length && over.has(t.queue[t.next]!)) {
+        t.next++;
+        t.share = null;
+      }
       const item = t.queue[t.next];
       if (!item) continue;
-      const s = share(t, sizeOf(item));
+      const s = (t.share ??= share(t, sizeOf(item)));
       if (s < smallest) {
         smallest = s;
         team = t;
       }
     }
     if (team === null) break;
+    team.share = null;
     const item = team.queue[team.next]!;
     if (item.kind === 'evicted') {
       team.next++;
       if (item.unit.out) continue;
-      add(team.used, need3(item.unit));
+      add(team.used, item.unit.size);
       returned.add(item.unit);
       continue;
     }
--- a/src/scheduler/model.ts
+++ b/src/scheduler/model.ts
@@ -9,11 +9,12 @@
 export const EPSILON = 1e-6;
 export const fits = (need: Room, have: Room): boolean =>
   need[0] <= have[0] + EPSILON && need[1] <= have[1] + EPSILON && need[2] <= have[2] + EPSILON;
+/** How often a task that wants so much of one kind goes into what there is of it. */
+export const goes = (want: number, have: number): number => Math.floor((have + EPSILON) / want + EPSILON);
 /** How many times `need` goes into `have`; as often as one likes if it needs nothing. */
 export const times = (need: Room, have: Room): number => {
   let k = Number.POSITIVE_INFINITY;
-  for (let i = 0; i < 3; i++)
-    if (need[i]! > 0) k = Math.min(k, Math.floor((have[i]! + EPSILON) / need[i]! + EPSILON));
+  for (let i = 0; i < 3; i++) if (need[i]! > 0) k = Math.min(k, goes(need[i]!, have[i]!));
   return Math.max(0, k);
 };
 export const add = (a: Room, b: Room, times = 1): void => {
--- a/src/scheduler/place.ts
+++ b/src/scheduler/place.ts
@@ -37,6 +37,11 @@
   readonly free: boolean;
 }
 
+interface Slate {
+  readonly versions: Int32Array;
+  readonly options: (Option | null)[];
+}
+
 export const finder = (floor: Floor): Finder => {
   const zones = [...new Set([...floor.nodes.values()].map((n) => n.view.zone))].sort();
 
@@ -60,6 +65,19 @@
     return shunned === null ? list : list.filter((n) => !shunned.has(n.view.id));
   };
 
+  /**
+   * What the machines are worth to a job's next task, as last weighed: of an array's tasks each takes one machine's room,
+   * and all the others are worth what they were. By job and level, for tasks that displace nobody.
+   */
+  const slates = new Map<Job, Slate[]>();
+  const slateOf = (job: Job, level: Level, list: readonly NodeState[]): Slate | null => {
+    // Where only some zones are left, or machines are shunned, the list is another each time.
+    if (job.spec.spread || job.spec.oneZone || floor.avoid(job) !== null) return null;
+    let mine = slates.get(job);
+    if (!mine) slates.set(job, (mine = []));
+    return (mine[level] ??= { versions: new Int32Array(list.length).fill(-1), options: [] });
+  };
+
   const victimsOn = (
     job: Job,
     team: TeamState,
@@ -93,6 +111,7 @@
     below: number,
     list: readonly NodeState[],
     level: Level,
+    slate: Slate | null,
   ): Choice | null => {
     const need = room(job.spec);
     const guards = guardsOf(floor.companions, job);
@@ -133,9 +152,20 @@
     };
 
     const options: Option[] = [];
-    for (const n of list) {
-      const o = weigh(n);
-      if (o !== null) options.push(o);
+    if (slate === null) {
+      for (const n of list) {
+        const o = weigh(n);
+        if (o !== null) options.push(o);
+      }
+    } else {
+      list.forEach((n, i) => {
+        if (slate.versions[i] !== n.version) {
+          slate.versions[i] = n.version;
+          slate.options[i] = weigh(n);
+        }
+      });
+      const b = best(slate.options);
+      return b === null ? null : { machines: [b.n], victims, free: b.free };
     }
     // Only the machine taken, and those that its victims leave, need weighing again.
     const current: (Option | null)[] = options;
@@ -173,15 +203,18 @@
     const need = room(job.spec);
     const below = outranked(floor, job, team, need);
     const one = job.spec.oneZone;
-    const groups = (one ? at.map((z) => [z]) : [at])
-      .map((g) => candidates(job, g))
-      .map((list) => ({ list, slots: slotsIn(need, below, list, one ? Number.POSITIVE_INFINITY : count) }))
-      .filter((g) => g.slots >= count);
+    const groups = (one ? at.map((z) => [z]) : [at]).map((g) => {
+      const list = candidates(job, g);
+      let known: readonly [number, number, number] | null = null;
+      return { list, slots: () => (known ??= slotsIn(need, below, list)) };
+    });
     for (const level of levels) {
       const found: ZoneChoice[] = [];
       for (const { list, slots } of groups) {
-        const choice = choose(job, team, count, below, list, level);
-        if (choice !== null) found.push({ choice, slots });
+        const slate = count === 1 && level < 2 ? slateOf(job, level, list) : null;
+        if (slate === null && (slots()[2] < count || slots()[level] < count)) continue;
+        const choice = choose(job, team, count, below, list, level, slate);
+        if (choice !== null) found.push({ choice, slots: one ? slots()[2] : 0 });
       }
       if (found.length > 0) return tightestZone(found);
     }
--- a/src/scheduler/state.ts
+++ b/src/scheduler/state.ts
@@ -8,7 +8,7 @@
   type NodeView,
   type QueuedJob,
   type Room,
-  times,
+  goes,
 } from './model.js';
 
 export interface NodeState {
@@ -21,14 +21,27 @@
   readonly evictedRoom: Room[];
   /** Beyond need, see surplus.ts. */
   readonly surplus: boolean;
+  /** Grows whenever its rooms change, so that a search need not weigh it again as long as they have not. */
+  version: number;
 }
 /** An evicted gang, or one evicted task of an array or service. */
-export interface Evicted {
-  readonly team: TeamState;
-  readonly job: Job;
-  readonly members: readonly Holder[];
-  readonly loss: number;
-  out: boolean;
+export class Evicted {
+  out = false;
+  private worst: number | null = null;
+
+  constructor(
+    readonly team: TeamState,
+    readonly job: Job,
+    readonly members: readonly Holder[],
+    /** Of one member, and of all. */
+    readonly need: Room,
+    readonly size: Room,
+  ) {}
+
+  /** What displacing it throws away, at the most by one member. */
+  get loss(): number {
+    return (this.worst ??= Math.max(...this.members.map((m) => m.loss)));
+  }
 }
 export interface TeamState {
   readonly settings: TeamSettings;
@@ -39,6 +52,8 @@
   readonly held: Room;
   readonly queue: Item[];
   next: number;
+  /** Its share with the next of its queue placed; null: something of that has changed. */
+  share: number | null;
 }
 export interface QueuedItem {
   readonly kind: 'queued';
@@ -47,8 +62,8 @@
   readonly rank: number;
   /** Index of the next task. */
   at: number;
-  /** The machine that took the last one, on free room. */
-  last: NodeState | null;
+  /** The machine that took the last one without displacing anybody, and whether on free room. */
+  last: { readonly n: NodeState; readonly free: boolean } | null;
 }
 export type Item =
   | { readonly kind: 'evicted'; readonly unit: Evicted; readonly urgency: number; readonly rank: number }
@@ -203,16 +218,39 @@
   return have;
 };
 
-/** How many tasks fit at all, were everything displaced that could be; looked for only up to `enough`. */
-export const slotsIn = (need: Room, below: number, list: readonly NodeState[], enough: number): number => {
-  let k = 0;
-  const most: Room = [0, 0, 0];
+/**
+ * How many tasks fit at most at each level of a search: on free room, with what is being left, were everything displaced
+ * that could be. One pass over the machines, no allocation: most searches end here, since a full fleet has no room.
+ */
+export const slotsIn = (
+  need: Room,
+  below: number,
+  list: readonly NodeState[],
+): readonly [number, number, number] => {
+  let free = 0;
+  let left = 0;
+  let all = 0;
   for (const n of list) {
-    for (let i = 0; i < 3; i++) most[i] = reach(n, below, i);
-    k += times(need, most);
-    if (k >= enough) break;
+    let kFree = Number.POSITIVE_INFINITY;
+    let kLeft = kFree;
+    let kAll = kFree;
+    for (let i = 0; i < 3; i++) {
+      const want = need[i]!;
+      if (want <= 0) continue;
+      let have = n.free[i]!;
+      kFree = Math.min(kFree, goes(want, have));
+      have += n.leaving[i]!;
+      kLeft = Math.min(kLeft, goes(want, have));
+      for (let u = 0; u < below; u++) have += n.evictedRoom[u]![i]!;
+      kAll = Math.min(kAll, goes(want, have));
+      if (kAll <= 0) break;
+    }
+    if (kAll <= 0) continue;
+    all += kAll;
+    if (kLeft > 0) left += kLeft;
+    if (kFree > 0) free += kFree;
   }
-  return k;
+  return [free, left, all];
 };
 
 export interface ZoneChoice {
--- a/src/scheduler/views.ts
+++ b/src/scheduler/views.ts
@@ -1,29 +1,64 @@
 /** What the cycle is given: holders, machines, queues, weights and companions as the book and the jobs have them now. */
 import { type Micros, seconds } from '../base/micros.js';
-import { isComplete } from '../jobs/model.js';
-import { endsOf } from '../workers/book.js';
+import { isComplete, type Job } from '../jobs/model.js';
+import { type Book, type Ends, endsOf } from '../workers/book.js';
 import type { Companion, Holder, NodeView, QueuedJob } from './model.js';
 import { type Promised, rankOf } from './rank.js';
 import type { Turn } from './turn.js';
 
+/** A task on a machine. What stopping it would cost is asked of few, so it is looked up when asked. */
+class HeldTask implements Holder {
+  constructor(
+    readonly job: Job,
+    readonly task: number,
+    readonly machine: string,
+    readonly zone: string | null,
+    readonly leaving: boolean,
+    private readonly key: string,
+    private readonly at: Micros,
+    private readonly book: Book,
+  ) {}
+
+  get loss(): Micros {
+    const run = this.book.running.get(this.key);
+    const since = run ? this.at - run.since : 0;
+    const { checkpoint, save } = this.job.spec;
+    return (checkpoint > 0 ? Math.min(since, save) : since) as Micros;
+  }
+}
+
 export const holdersOf = (t: Turn, at: Micros): Holder[] => {
   const out: Holder[] = [];
+  const { book } = t;
+  // Thousands of tasks at each turn: what is the same for all of a machine or a job is asked once.
+  interface OfJob {
+    readonly leaves: boolean;
+    readonly ends: Ends | undefined;
+  }
+  const jobs = new Map<Job, OfJob>();
+  let last: Job | null = null;
+  let known: OfJob = { leaves: false, ends: undefined };
+  const stops = book.stopping.size > 0;
   for (const [machine, on] of t.cache.byMachine) {
-    const m = t.book.machines.get(machine);
-    for (const [key, p] of on) {
+    const m = book.machines.get(machine);
+    const zone = m?.zone ?? null;
+    const away = m === undefined || !m.confirmed;
+    on.forEach((p, key) => {
+      const { job, task } = p;
+      if (job !== last) {
+        let of = jobs.get(job);
+        if (of === undefined) {
+          of = { leaves: job.withdrawn || book.isBroken(job), ends: book.ends.get(job.spec.id) };
+          jobs.set(job, of);
+        }
+        last = job;
+        known = of;
+      }
       // Seen to be over: the record that says so is the one that fills its room again.
-      if (t.book.isEnding(p.job.spec.id, p.task)) continue;
-      const leaving =
-        p.job.withdrawn ||
-        t.book.stopping.has(key) ||
-        t.book.isBroken(p.job) ||
-        m === undefined ||
-        !m.confirmed;
-      const run = t.book.running.get(key);
-      const since = run ? at - run.since : 0;
-      const loss = p.job.spec.checkpoint > 0 ? Math.min(since, p.job.spec.save) : since;
-      out.push({ job: p.job, task: p.task, machine, zone: m?.zone ?? null, leaving, loss: loss as Micros });
-    }
+      if (known.ends !== undefined && endsOf(known.ends, task)) return;
+      const leaving = away || known.leaves || (stops && book.stopping.has(key));
+      out.push(new HeldTask(job, task, machine, zone, leaving, key, at, book));
+    });
   }
   return out;
 };
--- a/src/workers/book.ts
+++ b/src/workers/book.ts
@@ -150,6 +150,7 @@
   }
 
   isEnding(jobId: string, task: number): boolean {
+    if (this.ends.size === 0) return false;
     const e = this.ends.get(jobId);
     return e !== undefined && endsOf(e, task);
   }
--- a/test/fleet.test.ts
+++ b/test/fleet.test.ts
@@ -18,6 +18,7 @@
     demand: [],
     companions: [],
     surplus: new Set(),
+    avoid: () => null,
     refused: () => false,
     late: () => false,
     most: 40,
@@ -94,6 +95,21 @@
 });
 
 // A gang's machines boot at different times; the early ones were returned as idle before the last was up, for ever.
+test('a machine that a job avoids is no room for it, and not kept for it', () => {
+  const bins = [
+    { id: 'vm-1', type: 'c8', zone: 'a', spot: false, free: [8, 0, 32] as [number, number, number] },
+    { id: 'vm-2', type: 'c8', zone: 'b', spot: false, free: [8, 0, 32] as [number, number, number] },
+  ];
+  const demand = [{ job: job({ shape: 'gang', tasks: 2, cpus: 8, spread: true }), count: 2 }];
+  const there = full({ demand, bins });
+  assert.deepEqual([there.rent, [...there.needed]], [[], ['vm-1', 'vm-2']]);
+  const shunned = full({ demand, bins, avoid: () => new Set(['vm-2']) });
+  assert.deepEqual(
+    [shunned.rent, [...shunned.needed]],
+    [[{ type: 'c8', zone: 'b', spot: false, count: 1 }], ['vm-1']],
+  );
+});
+
 test('machines that a waiting gang counts on are needed', () => {
   const bin = (id: string) => ({
     id,
--- a/test/world/plain-place.ts
+++ b/test/world/plain-place.ts
@@ -104,7 +104,7 @@
       for (const g of groups) {
         const choice = choose(floor, job, team, count, g, level);
         const there = [...floor.nodes.values()].filter((n) => allows(floor, job, g, n));
-        const slots = slotsIn(need, outranked(floor, job, team, need), there, Number.POSITIVE_INFINITY);
+        const slots = slotsIn(need, outranked(floor, job, team, need), there)[2];
         if (choice !== null) found.push({ choice, slots });
       }
       if (found.length > 0) return tightestZone(found);
