--- a/src/node.ts
+++ b/src/node.ts
@@ -54,11 +54,10 @@
 
 /** Between two turns: each costs writes of a budget that all controllers share. */
 const TURN_GAP_MS = 250;
-/**
- * A turn's computing takes at most about a twenty-fifth of the node's time, since nobody sees tasks start a few tenths of a
- * second later; but turns that take long come this often all the same, up to a quarter of the time.
- */
-const TURN_PART = { usual: 1 / 25, most: 1 / 4 };
+/** A turn's computing takes at most about this part of the node's time: reports, leases and users share it. */
+const TURN_PART = 1 / 4;
+/** Each machine more lets turns be so much further apart: on many machines something has always changed. */
+const GAP_MS_A_MACHINE = 0.6;
 const LONG_GAP_MS = 800;
 const TURN_EVERY_MS = 1000;
 const UPKEEP_GAP_MS = 200;
@@ -77,12 +76,12 @@
 const STILL_MS = 1500;
 const NO_NEWS: FleetNews = { rented: [], removed: [] };
 
-/** From the end of a turn to the next one's begin, after one that computed for `costMs`. */
-export const turnGapMs = (costMs: number): number =>
+/** From the end of a turn to the next one's begin, after one over so many machines that computed for `costMs`. */
+export const turnGapMs = (machines: number, costMs: number): number =>
   Math.max(
     TURN_GAP_MS,
-    Math.min(LONG_GAP_MS, costMs * (1 / TURN_PART.usual - 1)),
-    costMs * (1 / TURN_PART.most - 1),
+    Math.min(LONG_GAP_MS, Math.round(machines * GAP_MS_A_MACHINE)),
+    costMs * (1 / TURN_PART - 1),
   );
 
 export const makeNode = (settings: Settings, ports: Ports): Node => {
@@ -220,7 +219,7 @@
           Effect.ensuring(Effect.sync(() => gate.open())),
         );
         if (t.acting()) yield* sendUrgent(book, ports.workers, admission);
-        yield* Effect.sleep(turnGapMs(toMillis(view.cost)));
+        yield* Effect.sleep(turnGapMs(book.machines.size, toMillis(view.cost)));
       }).pipe(Effect.forever);
       const tidy = duty(
         'upkeep',
--- a/src/workers/relay.ts
+++ b/src/workers/relay.ts
@@ -23,8 +23,9 @@
   relay(peer: Peer, batch: Buffer): Effect.Effect<Buffer, NoAnswer>;
 }
 
-/** Reports are gathered for so long before they are passed on. */
-const GATHER_MS = 160;
+/** Reports are gathered for so long before they are passed on: longer where many come, which saves messages. */
+const GATHER_MS = { few: 80, many: 160 };
+const MANY = 4;
 /** A leader may wait for its next turn before it answers; past this it stands still. */
 export const RELAY_TIMEOUT_MS = 2500;
 /** Batches on their way at once; what comes meanwhile is gathered. */
@@ -45,6 +46,8 @@
 export class Relay {
   private waiting: Waiting[] = [];
   private flying = 0;
+  /** In the last batch. */
+  private gathered = 0;
   private readonly wake = Effect.runSync(Queue.sliding<void>(1));
 
   constructor(
@@ -64,13 +67,16 @@
   readonly run: Effect.Effect<never> = duty(
     'relay',
     Effect.suspend(() => Queue.take(this.wake)).pipe(
-      Effect.zipRight(Effect.sleep(GATHER_MS)),
+      Effect.zipRight(
+        Effect.suspend(() => Effect.sleep(this.gathered > MANY ? GATHER_MS.many : GATHER_MS.few)),
+      ),
       Effect.zipRight(Effect.suspend(() => this.flush())),
       Effect.forever,
     ),
   );
 
   private flush(): Effect.Effect<void> {
+    this.gathered = this.waiting.length;
     const peer = this.leader();
     if (peer === null) {
       for (const w of this.waiting.splice(0)) w.reply(retryLater('leader unknown'));
