A node gives back the lead that an ended process of its name held

Change: a node that reads its own name as the leader's, under a lease it does not hold, releases that lease. There is one process for each label, so nobody extends it; late writes of the ended one still fail on the term's revision.

--- a/src/leadership/leadership.ts
+++ b/src/leadership/leadership.ts
@@ -136,7 +136,20 @@
     return at - this.vacantSince < PATIENCE;
   }
 
+  /**
+   * The lead is named as this node's, by a lease that this process does not hold: it was an earlier process's, which has
+   * ended since there is one for each label, or a campaign's whose answer got lost. Nobody extends it. After an outage it
+   * would have its full time again, and nobody could lead meanwhile.
+   */
+  private readonly dropOrphan = Effect.suspend(() => {
+    const { leader } = this.cache;
+    if (!this.feed.loaded || leader?.node !== this.settings.label || leader.lease === this.lease)
+      return Effect.void;
+    return this.store.release(leader.lease).pipe(Effect.zipRight(this.feed.refresh));
+  });
+
   private readonly campaign = Effect.gen(this, function* () {
+    yield* this.dropOrphan;
     if (this.cache.leader !== null) this.vacantSince = null;
     if (!this.feed.loaded || this.cache.leader !== null || this.clock() < this.shunUntil) return;
     if (this.worsePlaced()) return;
--- a/src/node.ts
+++ b/src/node.ts
@@ -48,6 +48,8 @@
   readonly quickPeer: Quick;
   readonly run: Effect.Effect<never>;
   readonly leadership: Leadership;
+  /** Why this node can't take requests; null: it can. */
+  readonly unready: () => string | null;
   readonly peers: Peers;
   readonly desk: () => Desk | null;
 }
@@ -338,6 +340,7 @@
       },
     ).pipe(Effect.zipRight(Effect.never)),
     leadership,
+    unready,
     peers,
     desk: () => desk,
   };
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -713,6 +713,12 @@
     return this.nodes.find((n) => this.live.get(n)?.node.leadership.acting());
   }
 
+  /** The node says that it can take requests. */
+  ready(node: string): boolean {
+    const l = this.live.get(node);
+    return l !== undefined && l.node.unready() === null;
+  }
+
   /** Accepted jobs that nobody withdrew and that are not called done. */
   unfinished(): string[] {
     return [...this.jobs.values()]
