--- a/tools/regress.mjs
+++ b/tools/regress.mjs
@@ -125,5 +125,9 @@
       .trimEnd()}\n`,
   );
 if (made.length === 0) process.stdout.write('the bench left no journal entry\n');
-if (options.take) writeFileSync(options.base, stringify(base));
+if (options.take) {
+  // What is said at the head of the file stays.
+  const head = /^(#.*\n)*/.exec(readFileSync(options.base, 'utf8'))[0];
+  writeFileSync(options.base, `${head}${stringify(base)}\n`);
+}
 process.exit(bad ? 1 : 0);
