What fails outside fibers gets 503 and ends nothing

Cause: reports are handled outside fibers; an exception there was nobody's and would have ended the process, and one waiter at the gate that failed would have left the others without an answer. Found on rereading the change.

Change: the server catches, logs and answers 503; the gate lets everybody go before it reports the first failure; a report that failed gives its place in the count back. Tests, the first seen to fail with the exception let through.

--- a/src/base/http-server.ts
+++ b/src/base/http-server.ts
@@ -123,8 +123,16 @@
       const queue = queues.get(req.socket);
       if (!queue) return;
       readBody(req, bodyLimit, (body) => {
-        if (quick?.(incoming(req, body), (answer) => write(res, answer)) !== true)
-          Queue.unsafeOffer(queue, { req, res, body });
+        let taken = false;
+        try {
+          taken = quick?.(incoming(req, body), (answer) => write(res, answer)) ?? false;
+        } catch (e) {
+          // Outside any fiber nobody else would catch it, and the whole process would end of one request.
+          taken = true;
+          fork(error('request failed', { path: req.url, reason: String(e).slice(0, 600) }));
+          if (!res.headersSent) write(res, retryLater('internal'));
+        }
+        if (!taken) Queue.unsafeOffer(queue, { req, res, body });
       });
     });
     server.on('clientError', (_e, socket) => {
--- a/src/node.ts
+++ b/src/node.ts
@@ -322,10 +322,20 @@
         reply(refusal);
         return true;
       }
-      return reports(r, (a) => {
-        admission.leave('report');
-        reply(a);
-      });
+      let inside = true;
+      const leave = (): void => {
+        if (inside) admission.leave('report');
+        inside = false;
+      };
+      try {
+        return reports(r, (a) => {
+          leave();
+          reply(a);
+        });
+      } catch (e) {
+        leave();
+        throw e;
+      }
     },
     quickPeer: (r, reply) => (r.method === 'POST' && r.path === '/relay' ? relayed(r, reply) : false),
     handlePeer: (r) => {
--- a/src/workers/duty.ts
+++ b/src/workers/duty.ts
@@ -70,7 +70,7 @@
 
   /** It is over. */
   open(): void {
-    for (const w of this.current.splice(0)) w.then();
+    release(this.current.splice(0));
   }
 
   /** Lets those go that have waited for `longest`: a turn's record may wait for the state service. */
@@ -80,10 +80,23 @@
     if (late.length === 0) return;
     this.current = this.current.filter((w) => w.since > old);
     this.next = this.next.filter((w) => w.since > old);
-    for (const w of late) w.then();
+    release(late);
   }
 }
 
+/** One that fails must not keep the others waiting; the first failure is the duty's to report. */
+const release = (waiters: readonly Waiter[]): void => {
+  let failed: { readonly reason: unknown } | null = null;
+  for (const w of waiters) {
+    try {
+      w.then();
+    } catch (reason) {
+      failed ??= { reason };
+    }
+  }
+  if (failed !== null) throw failed.reason;
+};
+
 const NEW_TERM = seconds(3);
 
 /** Takes reports in, wherever they came to, and says what their answers are. */
--- /dev/null
+++ b/test/server.test.ts
@@ -0,0 +1,54 @@
+/** The HTTP server: what is handled outside fibers can't end the process, and the rest still goes to the handler. */
+import assert from 'node:assert/strict';
+import { request } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { test } from 'node:test';
+import { Effect, Exit, Scope } from 'effect';
+import { json, serve } from '../src/base/http-server.js';
+import { Gate } from '../src/workers/duty.js';
+import { type Micros, seconds } from '../src/base/micros.js';
+
+const get = (port: number, path: string): Promise<{ status: number; retry: string | undefined }> =>
+  new Promise((done, fail) => {
+    const r = request({ host: '127.0.0.1', port, path }, (res) => {
+      res.resume();
+      res.on('end', () => done({ status: res.statusCode!, retry: res.headers['retry-after'] }));
+    });
+    r.on('error', fail);
+    r.end();
+  });
+
+test('a request that fails outside fibers gets 503, the next ones their answers', async () => {
+  const scope = Effect.runSync(Scope.make());
+  const server = await Effect.runPromise(
+    serve({ host: '127.0.0.1', port: 0 }, 10, () => Effect.succeed(json(200, { by: 'handler' })), {
+      quick: (r, reply) => {
+        if (r.path === '/broken') throw new Error('broken on purpose');
+        if (r.path === '/quick') reply(json(202, {}));
+        return r.path === '/quick';
+      },
+    }).pipe(Scope.extend(scope)),
+  );
+  const { port } = server.address() as AddressInfo;
+  assert.deepEqual(await get(port, '/broken'), { status: 503, retry: '1' });
+  assert.equal((await get(port, '/quick')).status, 202);
+  assert.equal((await get(port, '/other')).status, 200);
+  await Effect.runPromise(Scope.close(scope, Exit.void));
+});
+
+test('at the gate one that fails keeps nobody waiting, and whoever waits too long is let go', () => {
+  let now = 0 as Micros;
+  const gate = new Gate(() => now);
+  const gone: string[] = [];
+  gate.wait(() => {
+    throw new Error('broken on purpose');
+  });
+  gate.wait(() => gone.push('first'));
+  gate.begin();
+  gate.wait(() => gone.push('during the turn'));
+  assert.throws(() => gate.open(), /on purpose/);
+  assert.deepEqual(gone, ['first']);
+  now = seconds(2);
+  gate.relieve(seconds(1));
+  assert.deepEqual(gone, ['first', 'during the turn']);
+});
