--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,6 +7,20 @@
   ...ts.configs.recommended,
   {
     files: ['tools/**/*.mjs'],
-    languageOptions: { globals: { process: 'readonly', console: 'readonly' } },
+    languageOptions: {
+      globals: Object.fromEntries(
+        [
+          'process',
+          'console',
+          'Buffer',
+          'URL',
+          'performance',
+          'setTimeout',
+          'clearTimeout',
+          'setInterval',
+          'clearInterval',
+        ].map((name) => [name, 'readonly']),
+      ),
+    },
   },
 );
--- a/src/api/handlers.ts
+++ b/src/api/handlers.ts
@@ -6,6 +6,7 @@
 import { Effect, Either, Random } from 'effect';
 import { type Answer, type Incoming, json, retryLater } from '../base/http-server.js';
 import { debug } from '../base/log.js';
+import { tally } from '../base/tally.js';
 import type { Micros } from '../base/micros.js';
 import type { MachineType } from '../fleet/model.js';
 import type { JobCache } from '../jobs/cache.js';
@@ -16,6 +17,7 @@
 import type { Settings } from '../settings/settings.js';
 import { Priority } from '../state-store/budget.js';
 import type { StateFailure } from '../state-store/client.js';
+import { REPORTS } from '../workers/codec.js';
 import type { StatePort } from '../state-store/port.js';
 
 export interface ApiDeps {
@@ -212,17 +214,15 @@
   return { submit, poll, withdraw };
 };
 
-/** All that arrives on the users' and workers' address. */
+/** What arrives on the users' and workers' address, reports apart. */
 export const route =
-  (
-    users: ReturnType<typeof userHandlers>,
-    report: (r: Incoming) => Effect.Effect<Answer>,
-    ready: () => string | null,
-  ) =>
+  (users: ReturnType<typeof userHandlers>, ready: () => string | null) =>
   (r: Incoming): Effect.Effect<Answer> => {
     const wrong = (allow: string) =>
       Effect.succeed(json(405, { error: 'method not allowed' }, { Allow: allow }));
-    if (r.path === '/agent/beat') return r.method === 'POST' ? report(r) : wrong('POST');
+    tally(r.path === '/ready' ? 'probes' : r.path === '/work' ? 'submissions' : 'polls');
+    // Reports themselves are taken before they get here.
+    if (r.path === REPORTS) return wrong('POST');
     if (r.path === '/ready') {
       if (r.method !== 'GET') return wrong('GET');
       const reason = ready();
--- a/src/base/http-server.ts
+++ b/src/base/http-server.ts
@@ -18,6 +18,11 @@
   readonly headers?: Record<string, string>;
 }
 export type Handler = (request: Incoming) => Effect.Effect<Answer>;
+/**
+ * Takes a request outside any fiber and replies once, at once or later; false: it is left to the handler. For what
+ * comes in hundreds a second: a fiber's start and end cost several times what the answer does.
+ */
+export type Quick = (request: Incoming, reply: (answer: Answer) => void) => boolean;
 
 interface Pending {
   readonly req: http.IncomingMessage;
@@ -48,20 +53,31 @@
 };
 
 const write = (res: http.ServerResponse, answer: Answer): void => {
-  const body = typeof answer.body === 'string' ? Buffer.from(answer.body) : answer.body;
-  res.writeHead(answer.status, {
-    'Content-Type': 'application/json',
-    'Content-Length': body.length,
-    ...answer.headers,
-  });
+  const { body } = answer;
+  // Raw pairs pass through unchecked; a string body goes out in one piece with the head.
+  const head = ['Content-Type', 'application/json', 'Content-Length', String(Buffer.byteLength(body))];
+  if (answer.headers !== undefined) {
+    for (const [name, value] of Object.entries(answer.headers)) {
+      if (name === 'Content-Type') head[1] = value;
+      else head.push(name, value);
+    }
+  }
+  res.sendDate = false;
+  res.writeHead(answer.status, head);
   res.end(body);
 };
 
+const incoming = (req: http.IncomingMessage, body: Buffer | null): Incoming => {
+  const url = req.url ?? '/';
+  const mark = url.indexOf('?');
+  return { method: req.method ?? 'GET', path: mark < 0 ? url : url.slice(0, mark), body };
+};
+
 export const serve = (
   listen: { readonly host: string; readonly port: number },
   maxConnections: number,
   handler: Handler,
-  bodyLimit = BODY_LIMIT,
+  { bodyLimit = BODY_LIMIT, quick }: { readonly bodyLimit?: number; readonly quick?: Quick } = {},
 ): Effect.Effect<http.Server, Error, Scope.Scope> =>
   Effect.gen(function* () {
     const runtime = yield* Effect.runtime<never>();
@@ -70,15 +86,7 @@
     const queues = new WeakMap<object, Queue.Queue<Pending>>();
 
     const one = ({ req, res, body }: Pending): Effect.Effect<void> =>
-      Effect.suspend(() => {
-        const url = req.url ?? '/';
-        const mark = url.indexOf('?');
-        return handler({
-          method: req.method ?? 'GET',
-          path: mark < 0 ? url : url.slice(0, mark),
-          body,
-        });
-      }).pipe(
+      Effect.suspend(() => handler(incoming(req, body))).pipe(
         Effect.map((answer) => write(res, answer)),
         Effect.catchAllCause((cause) =>
           Cause.isInterruptedOnly(cause)
@@ -113,7 +121,11 @@
     server.on('request', (req, res) => {
       res.on('error', () => undefined);
       const queue = queues.get(req.socket);
-      if (queue) readBody(req, bodyLimit, (body) => Queue.unsafeOffer(queue, { req, res, body }));
+      if (!queue) return;
+      readBody(req, bodyLimit, (body) => {
+        if (quick?.(incoming(req, body), (answer) => write(res, answer)) !== true)
+          Queue.unsafeOffer(queue, { req, res, body });
+      });
     });
     server.on('clientError', (_e, socket) => {
       if (socket.writable)
--- a/src/main.ts
+++ b/src/main.ts
@@ -31,13 +31,11 @@
         dayTime: () => micros(Date.now() * 1000),
       });
       const max = settings.limits.maxConnections;
-      yield* serve(parseAddress(settings.listen), Math.floor(max * 0.8), node.handle);
-      yield* serve(
-        parseAddress(settings.peerListen),
-        Math.max(16, Math.floor(max * 0.05)),
-        node.handlePeer,
-        PEER_BODY,
-      );
+      yield* serve(parseAddress(settings.listen), Math.floor(max * 0.8), node.handle, { quick: node.quick });
+      yield* serve(parseAddress(settings.peerListen), Math.max(16, Math.floor(max * 0.05)), node.handlePeer, {
+        bodyLimit: PEER_BODY,
+        quick: node.quickPeer,
+      });
       yield* info('listening', { node: settings.label, listen: settings.listen, version });
       yield* Effect.addFinalizer(() => node.leadership.release);
       yield* node.run;
--- a/src/node.ts
+++ b/src/node.ts
@@ -1,10 +1,11 @@
 /** One controller node: wires the slices together. Effects of the outside world come in as ports. */
-import { Deferred, Effect, Queue } from 'effect';
+import { Effect, Queue } from 'effect';
 import { route, userHandlers } from './api/handlers.js';
 import { duty } from './base/duty.js';
 import { info } from './base/log.js';
-import { type Micros, seconds, toMillis } from './base/micros.js';
-import { type Answer, type Incoming, json, retryLater } from './base/http-server.js';
+import { takeTally, tally } from './base/tally.js';
+import { type Micros, millis, seconds, toMillis } from './base/micros.js';
+import { type Answer, type Incoming, json, type Quick, retryLater } from './base/http-server.js';
 import type { CloudPort } from './fleet/cloud.js';
 import { fleetDuty } from './fleet/duty.js';
 import type { FleetNews, MachineType } from './fleet/model.js';
@@ -21,7 +22,7 @@
 import { Priority } from './state-store/budget.js';
 import type { StatePort } from './state-store/port.js';
 import { Book } from './workers/book.js';
-import { type Desk, receiver, reportHandler, sendUrgent, type WorkerPort } from './workers/duty.js';
+import { type Desk, Gate, receiver, reportHandler, sendUrgent, type WorkerPort } from './workers/duty.js';
 import { Places } from './workers/places.js';
 import { Relay, relayHandler, type RelayPort } from './workers/relay.js';
 
@@ -37,8 +38,12 @@
 
 export interface Node {
   readonly handle: (r: Incoming) => Effect.Effect<Answer>;
+  /** Reports of workers, before `handle`. */
+  readonly quick: Quick;
   /** What other controllers ask. */
   readonly handlePeer: (r: Incoming) => Effect.Effect<Answer>;
+  /** Reports that other controllers pass on, before `handlePeer`. */
+  readonly quickPeer: Quick;
   readonly run: Effect.Effect<never>;
   readonly leadership: Leadership;
   readonly peers: Peers;
@@ -51,11 +56,13 @@
 const TURN_PART = 1 / 4;
 const TURN_EVERY_MS = 1000;
 const UPKEEP_GAP_MS = 200;
+/** A report waits at most so long for a turn. */
+const LONGEST_TURN = millis(1200);
 /** How soon a session notices that its reign is over; it may do nothing more from the moment on anyway. */
 const OVER_MS = 250;
 const SUMMARY_EVERY_MS = 10_000;
 /** No leader is known, or it does not answer: the worker tries the next node. */
-const leaderless = Effect.succeed(retryLater('no leader'));
+const leaderless = retryLater('no leader');
 const NEW_LEADER = seconds(10);
 const PULSE_MS = 500;
 /** A pulse so much too late is worth a line in the log. */
@@ -175,20 +182,23 @@
         companions: new Map(),
       };
       const view: CycleView = { result: null, surplus: new Set(), companions: [], cost: 0 };
-      let gate = yield* Deferred.make<void>();
+      const gate = new Gate(clock);
       desk = {
         book,
-        nextTurn: Effect.suspend(() => {
+        nextTurn: (then) => {
+          gate.wait(then);
           Queue.unsafeOffer(wake, undefined);
-          return Deferred.await(gate).pipe(Effect.timeoutOption(1200), Effect.asVoid);
-        }),
+        },
       };
+      const relieve = Effect.sync(() => gate.relieve(LONGEST_TURN)).pipe(
+        Effect.zipRight(Effect.sleep(OVER_MS)),
+        Effect.forever,
+      );
       const turns = Effect.gen(function* () {
         yield* Queue.take(wake).pipe(Effect.timeoutOption(TURN_EVERY_MS));
-        const mine = gate;
-        gate = yield* Deferred.make<void>();
+        gate.begin();
         yield* (t.acting() ? turn(t, view) : Effect.void).pipe(
-          Effect.ensuring(Deferred.succeed(mine, undefined)),
+          Effect.ensuring(Effect.sync(() => gate.open())),
         );
         if (t.acting()) yield* sendUrgent(book, ports.workers);
         yield* Effect.sleep(Math.max(TURN_GAP_MS, toMillis(view.cost * (1 / TURN_PART - 1))));
@@ -207,10 +217,10 @@
       const over = Effect.sleep(OVER_MS).pipe(Effect.repeat({ while: () => t.reigning() }));
       yield* Effect.raceFirst(
         over,
-        Effect.all([duty('turns', turns), fleetDuty(t, view, ports.cloud), tidy, report], {
+        Effect.all([duty('turns', turns), fleetDuty(t, view, ports.cloud), tidy, report, relieve], {
           concurrency: 'unbounded',
         }),
-      );
+      ).pipe(Effect.ensuring(Effect.sync(() => gate.relieve(seconds(0)))));
     }).pipe(
       Effect.ensuring(
         Effect.sync(() => {
@@ -228,6 +238,17 @@
     }).pipe(Effect.forever),
   );
 
+  /** What this node did, whether it leads or not. */
+  const load = duty(
+    'load',
+    Effect.sleep(SUMMARY_EVERY_MS).pipe(
+      Effect.zipRight(
+        Effect.suspend(() => info('load', { leads: leadership.acting() !== null, ...takeTally() })),
+      ),
+      Effect.forever,
+    ),
+  );
+
   const users = userHandlers({
     settings,
     store,
@@ -239,40 +260,44 @@
     dayTime: ports.dayTime,
   });
   const receive = receiver(leadership, () => desk, clock, contacts);
-  const relay = new Relay(ports.relay, (label) => peers.heard(label));
   const places = new Places(settings.label, [settings.label, ...settings.peers.map((p) => p.label)].sort());
   const leader = (): Peer | null => {
     const label = leadership.known();
     const peer = settings.peers.find((p) => p.label === label);
     return peer !== undefined && peers.reaches(peer.label) ? peer : null;
   };
+  const relay = new Relay(ports.relay, leader, (label) => peers.heard(label), clock);
   const relayed = relayHandler(receive);
+  const reports = reportHandler(
+    receive,
+    () => desk !== null && leadership.answering() !== null,
+    (report, reply) => (leader() === null ? reply(leaderless) : relay.pass(report, reply)),
+    (machine) => {
+      const reign = leadership.acting();
+      const at = clock();
+      // In its first seconds a leader answers all who come: being sent on would cost them time twice.
+      if (reign !== null && at - reign.began < NEW_LEADER) return null;
+      const leads = reign !== null ? settings.label : (leader()?.label ?? null);
+      return places.elsewhere(machine, leads, (n) => peers.reaches(n), at);
+    },
+    (machine) => contacts.note(machine, clock()),
+  );
   const beats = peerHandler(() => peers);
   return {
-    handle: route(
-      users,
-      reportHandler(
-        receive,
-        (r) => (leader() === null ? leaderless : relay.pass(r, leader)),
-        (machine) => {
-          const reign = leadership.acting();
-          const at = clock();
-          // In its first seconds a leader answers all who come: being sent on would cost them time twice.
-          if (reign !== null && at - reign.began < NEW_LEADER) return null;
-          const leads = reign !== null ? settings.label : (leader()?.label ?? null);
-          return places.elsewhere(machine, leads, (n) => peers.reaches(n), at);
-        },
-      ),
-      unready,
-    ),
+    handle: route(users, unready),
+    quick: reports,
+    quickPeer: (r, reply) => (r.method === 'POST' && r.path === '/relay' ? relayed(r, reply) : false),
     handlePeer: (r) => {
       if (r.method !== 'POST') return Effect.succeed(json(405, {}, { Allow: 'POST' }));
-      if (r.path === '/beat') return beats(r);
-      return r.path === '/relay' ? relayed(r) : Effect.succeed(json(404, {}));
+      tally('beats');
+      return r.path === '/beat' ? beats(r) : Effect.succeed(json(404, {}));
     },
-    run: Effect.all([feed.run, leadership.run, peers.run, probe, pulse, learnTypes, reigns], {
-      concurrency: 'unbounded',
-    }).pipe(Effect.zipRight(Effect.never)),
+    run: Effect.all(
+      [load, feed.run, leadership.run, peers.run, relay.run, probe, pulse, learnTypes, reigns],
+      {
+        concurrency: 'unbounded',
+      },
+    ).pipe(Effect.zipRight(Effect.never)),
     leadership,
     peers,
     desk: () => desk,
--- a/src/state-store/client.ts
+++ b/src/state-store/client.ts
@@ -5,6 +5,7 @@
 import { Data, Effect } from 'effect';
 import { HttpClient, keptOpen, type NoAnswer, type Reply } from '../base/http-client.js';
 import { type Micros, now, toMillis } from '../base/micros.js';
+import { tally } from '../base/tally.js';
 import type { Settings } from '../settings/settings.js';
 import { Budget, Priority } from './budget.js';
 
@@ -189,6 +190,7 @@
     priority: Priority,
     timeoutMs: number,
   ): Effect.Effect<Reply, NoAnswer> {
+    tally('store');
     return this.requests.take(priority, 1).pipe(
       Effect.zipRight(this.client.request(method, path, body, timeoutMs)),
       Effect.tap((reply) =>
--- a/src/workers/codec.ts
+++ b/src/workers/codec.ts
@@ -1,5 +1,4 @@
 /** Wire form of reports and orders. */
-import { Either, Schema } from 'effect';
 import { type Micros, seconds, toSeconds } from '../base/micros.js';
 
 export type TaskStatus = 'fetching' | 'waiting' | 'running' | 'saving' | 'exited';
@@ -28,20 +27,6 @@
   readonly tasks: readonly ReportedTask[];
 }
 
-const Count = Schema.Int.pipe(Schema.nonNegative());
-const Beat = Schema.Struct({
-  host: Schema.NonEmptyString,
-  addr: Schema.String,
-  hostKind: Schema.String,
-  room: Schema.String,
-  borrowed: Schema.optionalWith(Schema.Boolean, { default: () => false, nullable: true }),
-  tenure: Count,
-  tick: Count,
-  warrant: Count,
-  recallS: Schema.optionalWith(Schema.NullOr(Schema.Number), { default: () => null }),
-});
-const decodeBeat = Schema.decodeUnknownEither(Beat);
-
 const STATUS: Record<string, TaskStatus> = {
   fetching: 'fetching',
   gathering: 'waiting',
@@ -60,55 +45,100 @@
   unknown: 'unknown',
 };
 
+interface WireReport {
+  readonly host: unknown;
+  readonly addr: unknown;
+  readonly hostKind: unknown;
+  readonly room: unknown;
+  readonly borrowed?: unknown;
+  readonly tenure: unknown;
+  readonly tick: unknown;
+  readonly warrant: unknown;
+  readonly recallS?: unknown;
+  readonly pieces?: unknown;
+}
 interface WirePiece {
-  piece: string;
-  try: number;
-  status: string;
-  cause?: string | null;
-  stored?: boolean;
+  readonly piece: unknown;
+  readonly try: unknown;
+  readonly status: unknown;
+  readonly cause?: unknown;
+  readonly stored?: unknown;
 }
 
-/** The frame is checked by Schema; the task list, which may hold hundreds, by hand: it is read many times a second. */
-export const readReport = (body: Buffer): Either.Either<Report, string> => {
-  let value: unknown;
+const count = (v: unknown): v is number => Number.isSafeInteger(v) && (v as number) >= 0;
+const text = (v: unknown): v is string => typeof v === 'string';
+
+/**
+ * A report's body; null: it is malformed. Checked by hand: hundreds come in a second, and a schema's decoder takes
+ * several times as long as reading the JSON does.
+ */
+export const readReport = (body: Buffer): Report | null => {
+  let v: WireReport;
   try {
-    value = JSON.parse(body.toString('utf8'));
+    v = JSON.parse(body.toString('utf8')) as WireReport;
   } catch {
-    return Either.left('not JSON');
+    return null;
   }
-  const beat = decodeBeat(value);
-  if (Either.isLeft(beat)) return Either.left(beat.left.message.slice(0, 300));
-  const b = beat.right;
-  const pieces = (value as { pieces?: WirePiece[] | null }).pieces ?? [];
-  if (!Array.isArray(pieces)) return Either.left('pieces is not a list');
+  if (typeof v !== 'object' || v === null) return null;
+  const { host, addr, hostKind, room, tenure, tick, warrant } = v;
+  const recall = v.recallS ?? null;
+  const spot = v.borrowed ?? false;
+  const pieces = v.pieces ?? [];
+  if (!text(host) || host === '' || !text(addr) || !text(hostKind) || !text(room)) return null;
+  if (!count(tenure) || !count(tick) || !count(warrant) || typeof spot !== 'boolean') return null;
+  if (recall !== null && !Number.isFinite(recall)) return null;
+  if (!Array.isArray(pieces)) return null;
   const tasks: ReportedTask[] = [];
-  for (const p of pieces) {
-    const status = STATUS[p.status];
-    if (typeof p.piece !== 'string' || !Number.isSafeInteger(p.try) || !status)
-      return Either.left('a piece is malformed');
+  for (const p of pieces as (WirePiece | null)[]) {
+    if (typeof p !== 'object' || p === null) return null;
+    const status = STATUS[p.status as string];
+    if (!text(p.piece) || !Number.isSafeInteger(p.try) || status === undefined) return null;
     tasks.push({
       key: p.piece,
-      attempt: p.try,
+      attempt: p.try as number,
       status,
       // An exit of a kind we don't know is handled as a failure.
-      cause: status === 'exited' ? (CAUSE[p.cause ?? ''] ?? 'error') : null,
+      cause: status === 'exited' ? (CAUSE[(p.cause ?? '') as string] ?? 'error') : null,
       saved: p.stored === true,
     });
   }
-  return Either.right({
-    machine: b.host,
-    addr: b.addr,
-    type: b.hostKind,
-    zone: b.room,
-    spot: b.borrowed,
-    tenure: b.tenure,
-    tick: b.tick,
-    token: b.warrant,
-    recall: b.recallS === null ? null : seconds(b.recallS),
+  return {
+    machine: host,
+    addr,
+    type: hostKind,
+    zone: room,
+    spot,
+    tenure,
+    tick,
+    token: warrant,
+    recall: recall === null ? null : seconds(recall as number),
     tasks,
-  });
+  };
 };
 
+const HOST = /"host"\s*:\s*"([^"\\]{1,200})"/;
+/** Whose report this seems to be, without reading it; null: whoever reads it will find it malformed. */
+export const senderOf = (body: Buffer): string | null =>
+  // The field stands first in what workers send.
+  (HOST.exec(body.toString('utf8', 0, 300)) ?? HOST.exec(body.toString('utf8')))?.[1] ?? null;
+
+/** What a leader answers to several reports. */
+export interface Answers {
+  readonly term: number;
+  /** Bodies in the reports' order. Empty: no orders, `plainBody` is the answer. null: that report was malformed. */
+  readonly bodies: readonly (string | null)[];
+}
+/** Takes reports in, null for a malformed one; answers once, at once or after the next turn. null: it does not lead. */
+export type Receive = (
+  reports: readonly (Report | null)[],
+  answer: (answers: Answers | null) => void,
+) => void;
+
+/** Where workers report. */
+export const REPORTS = '/agent/beat';
+
+export const plainBody = (token: number): string => `{"warrant":${token},"orders":[]}`;
+
 export type Order =
   | { readonly op: 'start'; readonly key: string; readonly attempt: number }
   | { readonly op: 'stop'; readonly key: string; readonly attempt: number; readonly grace: Micros }
--- a/src/workers/duty.ts
+++ b/src/workers/duty.ts
@@ -1,14 +1,16 @@
 /** Answers reports while this node leads, and sends urgent stops directly. */
 import * as http from 'node:http';
-import { Effect, Either } from 'effect';
-import { type Answer, type Incoming, json } from '../base/http-server.js';
+import { Effect } from 'effect';
+import { type Answer, json, type Quick } from '../base/http-server.js';
 import { HttpClient } from '../base/http-client.js';
 import { type Micros, seconds } from '../base/micros.js';
+import { tally } from '../base/tally.js';
 import type { Contacts } from '../leadership/contacts.js';
 import type { Leadership } from '../leadership/leadership.js';
 import type { Settings } from '../settings/settings.js';
 import type { Book } from './book.js';
-import { type Order, readReport, type Report, writeOrders } from './codec.js';
+import { type Order, readReport, type Receive, REPORTS, senderOf, writeOrders } from './codec.js';
+import { answerOf } from './relay.js';
 
 export interface WorkerPort {
   /** Sends commands to a worker's address; whatever comes of it, the next reports tell. */
@@ -37,57 +39,120 @@
 /** What the leader's session offers to the report handler. */
 export interface Desk {
   readonly book: Book;
-  /** Completes when the next turn has run, or soon after. */
-  readonly nextTurn: Effect.Effect<void>;
+  /** Calls back when the next turn has run, or soon after. */
+  readonly nextTurn: (then: () => void) => void;
+}
+
+interface Waiter {
+  readonly since: Micros;
+  readonly then: () => void;
+}
+
+/**
+ * Those that wait for the turn to come; whoever asks during one waits for the one after it. As many as there are
+ * reports on their way to this node, which their senders bound.
+ */
+export class Gate {
+  private next: Waiter[] = [];
+  private current: Waiter[] = [];
+
+  constructor(private readonly clock: () => Micros) {}
+
+  wait(then: () => void): void {
+    this.next.push({ since: this.clock(), then });
+  }
+
+  /** A turn begins. */
+  begin(): void {
+    this.current.push(...this.next.splice(0));
+  }
+
+  /** It is over. */
+  open(): void {
+    for (const w of this.current.splice(0)) w.then();
+  }
+
+  /** Lets those go that have waited for `longest`: a turn's record may wait for the state service. */
+  relieve(longest: Micros): void {
+    const old = this.clock() - longest;
+    const late = [...this.current, ...this.next].filter((w) => w.since <= old);
+    if (late.length === 0) return;
+    this.current = this.current.filter((w) => w.since > old);
+    this.next = this.next.filter((w) => w.since > old);
+    for (const w of late) w.then();
+  }
 }
 
 const NEW_TERM = seconds(3);
 
-/** Takes reports in, wherever they came to, and says what their answers are; null: this node does not lead. */
+/** Takes reports in, wherever they came to, and says what their answers are. */
 export const receiver =
-  (leadership: Leadership, desk: () => Desk | null, clock: () => Micros, contacts: Contacts) =>
-  (reports: readonly Report[]): Effect.Effect<readonly string[] | null> =>
-    Effect.gen(function* () {
-      for (const r of reports) {
-        contacts.note(r.machine, clock());
-        leadership.depose(r.token);
-      }
-      const reign = leadership.answering();
-      const d = desk();
-      if (reign === null || d === null || d.book.term !== reign.term) return null;
-      const machines = reports.map((r) => d.book.report(r, clock()));
-      // A turn that a report calls for is waited for, shortly: the freed room's new start then goes
-      // out at once instead of a report later.
-      // Not in a term's first seconds: all leases want renewing then, and the first turns are the longest.
-      const settled = clock() - reign.began > NEW_TERM;
-      if (d.book.dirty && settled && leadership.acting() !== null) yield* d.nextTurn;
+  (leadership: Leadership, desk: () => Desk | null, clock: () => Micros, contacts: Contacts): Receive =>
+  (reports, answer) => {
+    const at = clock();
+    for (const r of reports) {
+      if (r === null) continue;
+      contacts.note(r.machine, at);
+      leadership.depose(r.token);
+    }
+    const reign = leadership.answering();
+    const d = desk();
+    if (reign === null || d === null || d.book.term !== reign.term) return answer(null);
+    const { book } = d;
+    const machines = reports.map((r) => (r === null ? null : book.report(r, at)));
+    const finish = (): void => {
       const still = leadership.answering();
-      if (still === null || still.term !== reign.term) return null;
-      return machines.map((m, i) => {
-        const r = reports[i]!;
+      if (still === null || still.term !== reign.term) return answer(null);
+      const bodies = reports.map((r, i) => {
+        const m = machines[i]!;
+        if (r === null) return null;
         // Older than what is known by now: this answer must not carry what belongs to a newer report's.
-        const latest = m !== null && m.tick === r.tick && m.tenure === r.tenure;
-        return writeOrders(reign.term, latest ? d.book.orders(m) : []);
+        if (m === null || m.tick !== r.tick || m.tenure !== r.tenure) return '';
+        const orders = book.orders(m);
+        return orders.length === 0 ? '' : writeOrders(reign.term, orders);
       });
-    });
+      answer({ term: reign.term, bodies });
+    };
+    // A turn that a report calls for is waited for, shortly: the freed room's new start then goes
+    // out at once instead of a report later.
+    // Not in a term's first seconds: all leases want renewing then, and the first turns are the longest.
+    const settled = at - reign.began > NEW_TERM;
+    if (book.dirty && settled && leadership.acting() !== null) d.nextTurn(finish);
+    else finish();
+  };
 
 /** The workers' address: the leader answers by itself, a follower passes the report on, or names a better node. */
 export const reportHandler =
   (
-    receive: (reports: readonly Report[]) => Effect.Effect<readonly string[] | null>,
-    pass: (report: Report) => Effect.Effect<Answer>,
+    receive: Receive,
+    leads: () => boolean,
+    pass: (report: Buffer, reply: (a: Answer) => void) => void,
     elsewhere: (machine: string) => string | null,
-  ) =>
-  (request: Incoming): Effect.Effect<Answer> =>
-    Effect.gen(function* () {
-      if (request.body === null) return json(400, { error: 'body too large' });
-      const read = readReport(request.body);
-      if (Either.isLeft(read)) return json(400, { error: read.left });
-      const better = elsewhere(read.right.machine);
-      if (better !== null) return json(421, { answerTo: better });
-      const bodies = yield* receive([read.right]);
-      return bodies === null ? yield* pass(read.right) : { status: 200, body: bodies[0]! };
-    });
+    note: (machine: string) => void,
+  ): Quick =>
+  (request, reply) => {
+    if (request.method !== 'POST' || request.path !== REPORTS) return false;
+    tally('reports');
+    const { body } = request;
+    if (body === null) {
+      reply(json(400, { error: 'body too large' }));
+      return true;
+    }
+    const sender = senderOf(body);
+    const better = sender === null ? null : elsewhere(sender);
+    if (better !== null) {
+      reply(json(421, { answerTo: better }));
+      return true;
+    }
+    if (sender !== null) note(sender);
+    if (leads()) {
+      receive([readReport(body)], (answers) => {
+        if (answers === null) pass(body, reply);
+        else reply(answerOf(answers, 0));
+      });
+    } else pass(body, reply);
+    return true;
+  };
 
 /** Sends what must not wait for a report. */
 export const sendUrgent = (book: Book, port: WorkerPort): Effect.Effect<void> =>
@@ -100,6 +165,7 @@
       else byMachine.set(machine.id, { addr: machine.addr, tenure: machine.tenure, orders: [order] });
     }
     book.urgent = [];
+    tally('orders', byMachine.size);
     return Effect.forEach(
       byMachine.values(),
       (e) => Effect.forkDaemon(port.orders(e.addr, writeOrders(book.term, e.orders, e.tenure))),
--- a/src/workers/relay.ts
+++ b/src/workers/relay.ts
@@ -1,19 +1,22 @@
 /**
- * Reports that reach a follower. It passes them to the leader, several in one message, and gives the worker the
- * leader's own answer, token and all. So a worker need not find the leader: one that stands still, ends, or can't
- * be reached by the workers costs only those that talk to that very node, and a new leader is not met by all
+ * Reports that reach a follower. It passes them to the leader as they came, several in one message, and gives the
+ * worker the leader's own answer, token and all. So a worker need not find the leader: one that stands still, ends, or
+ * can't be reached by the workers costs only those that talk to that very node, and a new leader is not met by all
  * workers' connections at once.
  *
  * What passes is a report and its answer, nothing else: a follower that holds either for too long has it dropped,
- * by the book (an older tick) or by the worker (which waits 4 s).
+ * by the book (an older tick) or by the worker (which waits 4 s). A follower reads nothing of a report but who sent
+ * it: decoding it here and encoding it again cost more than all that the leader does with it.
  */
-import { Effect } from 'effect';
+import { Effect, Queue } from 'effect';
 import { pack, unpack } from 'msgpackr';
-import type { Answer, Incoming } from '../base/http-server.js';
-import { json, retryLater } from '../base/http-server.js';
+import { duty } from '../base/duty.js';
+import { type Answer, json, type Quick, retryLater } from '../base/http-server.js';
 import { HttpClient, keptOpen, type NoAnswer } from '../base/http-client.js';
+import { type Micros, millis } from '../base/micros.js';
+import { tally } from '../base/tally.js';
 import type { Peer } from '../settings/settings.js';
-import type { Report } from './codec.js';
+import { type Answers, plainBody, readReport, type Receive } from './codec.js';
 
 /** Carries a batch to the leader and its answers back. */
 export interface RelayPort {
@@ -28,121 +31,136 @@
 const FLYING = 6;
 /** Reports in one batch: a large one would keep the leader from others. */
 const MOST = 60;
+/** Reports that wait to be passed on: what all batches on their way hold, once more. Past it the worker tries elsewhere. */
+const MOST_WAITING = FLYING * MOST;
+/** A report that has waited here for longer would reach its worker's time-out before its answer does. */
+const LONGEST_WAIT = millis(1200);
 
 interface Waiting {
-  readonly report: Report;
-  readonly answer: (a: Answer) => void;
+  readonly report: Buffer;
+  readonly since: Micros;
+  readonly reply: (a: Answer) => void;
 }
 
 export class Relay {
   private waiting: Waiting[] = [];
   private flying = 0;
-  private armed = false;
+  private readonly wake = Effect.runSync(Queue.sliding<void>(1));
 
   constructor(
     private readonly port: RelayPort,
+    private readonly leader: () => Peer | null,
     private readonly heard: (label: string) => void,
+    private readonly clock: () => Micros,
   ) {}
 
-  /** The leader's answer to a report; 503 at once when it can't be had. */
-  pass(report: Report, leader: () => Peer | null): Effect.Effect<Answer> {
-    return Effect.async<Answer>((resume) => {
-      const entry: Waiting = { report, answer: (a) => resume(Effect.succeed(a)) };
-      this.waiting.push(entry);
-      return Effect.sync(() => {
-        this.waiting = this.waiting.filter((w) => w !== entry);
-      });
-    }).pipe((answered) => Effect.zipRight(Effect.forkDaemon(this.flushSoon(leader)), answered));
+  /** Replies with the leader's answer to a report; with 503, at once, when it can't be had. */
+  pass(report: Buffer, reply: (a: Answer) => void): void {
+    if (this.waiting.length >= MOST_WAITING) return reply(retryLater('too many reports'));
+    this.waiting.push({ report, since: this.clock(), reply });
+    if (this.waiting.length === 1) Queue.unsafeOffer(this.wake, undefined);
   }
 
-  private flushSoon(leader: () => Peer | null): Effect.Effect<void> {
-    return Effect.suspend(() => {
-      if (this.armed) return Effect.void;
-      this.armed = true;
-      return Effect.sleep(GATHER_MS).pipe(
-        Effect.zipRight(
-          Effect.suspend(() => {
-            this.armed = false;
-            return this.flush(leader);
-          }),
-        ),
-      );
-    });
-  }
+  readonly run: Effect.Effect<never> = duty(
+    'relay',
+    Effect.suspend(() => Queue.take(this.wake)).pipe(
+      Effect.zipRight(Effect.sleep(GATHER_MS)),
+      Effect.zipRight(Effect.suspend(() => this.flush())),
+      Effect.forever,
+    ),
+  );
 
-  private flush(leader: () => Peer | null): Effect.Effect<void> {
-    return Effect.suspend(() => {
-      const peer = leader();
-      if (peer === null) {
-        for (const w of this.waiting.splice(0)) w.answer(retryLater('leader unknown'));
-        return Effect.void;
-      }
-      if (this.waiting.length === 0 || this.flying >= FLYING) return Effect.void;
-      const batch = this.waiting.splice(0, MOST);
+  private flush(): Effect.Effect<void> {
+    const peer = this.leader();
+    if (peer === null) {
+      for (const w of this.waiting.splice(0)) w.reply(retryLater('leader unknown'));
+      return Effect.void;
+    }
+    const flights: Waiting[][] = [];
+    while (this.waiting.length > 0 && this.flying < FLYING) {
       this.flying++;
-      return this.port.relay(peer, Buffer.from(pack(batch.map((w) => w.report)))).pipe(
-        Effect.map((body) => {
-          this.heard(peer.label);
-          return readAnswers(body, batch.length);
-        }),
-        Effect.orElseSucceed(() => null),
-        Effect.flatMap((answers) => {
-          this.flying--;
-          batch.forEach((w, i) => {
-            const body = answers?.[i];
-            w.answer(body === undefined ? retryLater('leader not reached') : { status: 200, body });
-          });
-          return this.waiting.length > 0 ? this.flushSoon(leader) : Effect.void;
-        }),
-      );
-    });
+      flights.push(this.waiting.splice(0, MOST));
+    }
+    const old = this.clock() - LONGEST_WAIT;
+    if (this.waiting.length > 0 && this.waiting[0]!.since < old) {
+      const late = this.waiting.filter((w) => w.since < old);
+      this.waiting = this.waiting.filter((w) => w.since >= old);
+      for (const w of late) w.reply(retryLater('too many reports'));
+    }
+    return Effect.forEach(flights, (batch) => Effect.forkDaemon(this.fly(peer, batch)), { discard: true });
+  }
+
+  private fly(peer: Peer, batch: readonly Waiting[]): Effect.Effect<void> {
+    return this.port.relay(peer, Buffer.from(pack(batch.map((w) => w.report)))).pipe(
+      Effect.map((body) => {
+        this.heard(peer.label);
+        return readAnswers(body, batch.length);
+      }),
+      Effect.orElseSucceed(() => null),
+      Effect.map((answers) => {
+        this.flying--;
+        batch.forEach((w, i) => w.reply(answerOf(answers, i)));
+        if (this.waiting.length > 0) Queue.unsafeOffer(this.wake, undefined);
+      }),
+    );
   }
 }
 
+/** The answer to the `i`th report; null: the leader has not answered. */
+export const answerOf = (answers: Answers | null, i: number): Answer => {
+  if (answers === null) return retryLater('leader not reached');
+  const body = answers.bodies[i]!;
+  if (body === null) return json(400, { error: 'malformed report' });
+  return { status: 200, body: body === '' ? plainBody(answers.term) : body };
+};
+
 /** null: not the answers of a leader to so many reports. */
-const readAnswers = (body: Buffer, count: number): string[] | null => {
+const readAnswers = (body: Buffer, count: number): Answers | null => {
   try {
-    const v: unknown = unpack(body);
-    return Array.isArray(v) && v.length === count && v.every((x) => typeof x === 'string') ? v : null;
+    const [term, bodies] = unpack(body) as [number, (string | null)[]];
+    return Number.isSafeInteger(term) &&
+      Array.isArray(bodies) &&
+      bodies.length === count &&
+      bodies.every((x) => x === null || typeof x === 'string')
+      ? { term, bodies }
+      : null;
   } catch {
     return null;
   }
 };
 
-const readBatch = (body: Buffer): Report[] | null => {
+const readBatch = (body: Buffer): Buffer[] | null => {
   try {
-    const v = unpack(body) as Report[];
-    const sound = (r: Report): boolean =>
-      typeof r.machine === 'string' &&
-      Number.isSafeInteger(r.tenure) &&
-      Number.isSafeInteger(r.tick) &&
-      Number.isSafeInteger(r.token) &&
-      Array.isArray(r.tasks);
-    return Array.isArray(v) && v.every(sound) ? v : null;
+    const v: unknown = unpack(body);
+    return Array.isArray(v) && v.every((r) => r instanceof Uint8Array) ? (v as Buffer[]) : null;
   } catch {
     return null;
   }
 };
 
-/** The leader's side: a batch comes in, the bodies of its answers go back; 503 if it does not lead. */
+/** The leader's side: a batch comes in, its answers go back; 503 if it does not lead. */
 export const relayHandler =
-  (receive: (reports: readonly Report[]) => Effect.Effect<readonly string[] | null>) =>
-  (request: Incoming): Effect.Effect<Answer> =>
-    Effect.suspend(() => {
-      const batch = request.body === null ? null : readBatch(request.body);
-      if (batch === null) return Effect.succeed(json(400, {}));
-      return receive(batch).pipe(
-        Effect.map((bodies) =>
-          bodies === null
-            ? retryLater('not leading')
-            : {
-                status: 200,
-                body: Buffer.from(pack(bodies)),
-                headers: { 'Content-Type': 'application/msgpack' },
-              },
-        ),
-      );
-    });
+  (receive: Receive): Quick =>
+  (request, reply) => {
+    const batch = request.body === null ? null : readBatch(request.body);
+    if (batch === null) {
+      reply(json(400, {}));
+      return true;
+    }
+    tally('relayed', batch.length);
+    receive(batch.map(readReport), (answers) =>
+      reply(
+        answers === null
+          ? retryLater('not leading')
+          : {
+              status: 200,
+              body: Buffer.from(pack([answers.term, answers.bodies])),
+              headers: { 'Content-Type': 'application/msgpack' },
+            },
+      ),
+    );
+    return true;
+  };
 
 export class HttpRelay implements RelayPort {
   private readonly clients = new Map<string, HttpClient>();
--- /dev/null
+++ b/tools/load.mjs
@@ -0,0 +1,291 @@
+/**
+ * Loads real controller processes on loopback with stand-ins for state service, cloud, workers and users, and
+ * prints what each process spent: processor time a second, microseconds a report, peak memory. For measurements by
+ * hand, not for CI. With --pin the controllers share one core each with nobody, as far as the machine allows.
+ */
+import { spawn } from 'node:child_process';
+import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
+import * as net from 'node:net';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { Command } from 'commander';
+import { Fleet, Line } from './load/machines.mjs';
+import { State } from './load/state.mjs';
+
+const number = (text) => {
+  const n = Number(text);
+  if (!Number.isFinite(n) || n < 0) throw new Error(`not a number: ${text}`);
+  return n;
+};
+const o = new Command()
+  .name('load')
+  .description('Loads real controllers on loopback and says what they spent')
+  .option('--program <file>', 'the built controller', 'target/main.cjs')
+  .option('--nodes <n>', 'controllers', number, 5)
+  .option('--machines <n>', 'machines', number, 600)
+  .option('--cpus <n>', 'CPUs of a machine', number, 4)
+  .option('--report-ms <ms>', 'between two reports of a worker', number, 2500)
+  .option('--lease-ms <ms>', 'lease of a worker', number, 15_250)
+  .option('--run-ms <ms>', 'run time of a task', number, 20_000)
+  .option('--jobs <rate>', 'jobs submitted a second', number, 1.1)
+  .option('--tasks <n>', 'tasks of 1 CPU in each', number, 120)
+  .option('--poll-ms <ms>', 'between two polls of a user', number, 5000)
+  .option('--warmup <s>', 'before the measurement', number, 30)
+  .option('--for <s>', 'the measurement', number, 30)
+  .option('--rps <n>', "state service's requests a second", number, 180)
+  .option('--writes <n>', "state service's changes a second", number, 60)
+  .option('--cores <share>', 'share of a core, as the settings say it', number, 0.493)
+  .option('--pin <cpu>', 'hold all controllers to this one core together')
+  .option('--prof <dir>', 'write a processor profile of each controller there')
+  .option('--log <level>', 'log level of the controllers', 'error')
+  .option('--seed <n>', 'seed of the stand-ins', number, 1)
+  .option('--json', 'one line of JSON')
+  .parse()
+  .opts();
+
+/** mulberry32: small and seeded; the load repeats as far as real time lets it. */
+let seed = o.seed >>> 0;
+const random = () => {
+  seed = (seed + 0x6d2b79f5) >>> 0;
+  let t = Math.imul(seed ^ (seed >>> 15), seed | 1);
+  t ^= t + Math.imul(t ^ (t >>> 7), t | 61);
+  return ((t ^ (t >>> 14)) >>> 0) / 4294967296;
+};
+const luck = { int: (n) => Math.floor(random() * n), between: (a, b) => a + random() * (b - a) };
+const sleep = (s) => new Promise((done) => setTimeout(done, s * 1000));
+
+const freePort = () =>
+  new Promise((done) => {
+    const s = net.createServer();
+    s.listen(0, '127.0.0.1', () => {
+      const { port } = s.address();
+      s.close(() => done(port));
+    });
+  });
+
+const state = new State({ rps: o.rps, writes: o.writes });
+const stateAddress = await state.listen();
+const nodes = [];
+for (let i = 0; i < o.nodes; i++)
+  nodes.push({
+    label: `node-${i}`,
+    zone: `zone-${i % 2}`,
+    listen: `127.0.0.1:${await freePort()}`,
+    peer: `127.0.0.1:${await freePort()}`,
+  });
+const fleet = new Fleet({
+  kinds: [
+    {
+      label: 'box',
+      vcpus: o.cpus,
+      accelerators: 0,
+      memGb: 64,
+      hourly: 0.8,
+      rooms: ['zone-0', 'zone-1'],
+      count: o.machines,
+    },
+  ],
+  nodes,
+  reportMs: o.reportMs,
+  leaseMs: o.leaseMs,
+  runMs: () => o.runMs * luck.between(0.5, 1.5),
+  luck,
+  bootMs: 2000,
+});
+const cloudAddress = await fleet.listen();
+
+const dir = mkdtempSync(join(tmpdir(), 'load-'));
+const settings = (n) => `label = "${n.label}"
+zone = "${n.zone}"
+listen = "${n.listen}"
+cluster_listen = "${n.peer}"
+${nodes
+  .filter((p) => p !== n)
+  .map((p) => `[[others]]\nlabel = "${p.label}"\nzone = "${p.zone}"\npeer_addr = "${p.peer}"`)
+  .join('\n')}
+[services]
+cloud = "${cloudAddress}"
+state = "${stateAddress}"
+[cluster]
+nodes = ${o.nodes}
+zones = ["zone-0", "zone-1"]
+skew_ms = 5.0
+[[cluster.teams]]
+name = "crew"
+[[cluster.objectives]]
+kind = "finished"
+class = "render"
+within_s = 350.0
+share = 0.99
+[cluster.workers]
+report_s = ${o.reportMs / 1000}
+lease_s = ${o.leaseMs / 1000}
+gang_wait_s = 35.0
+gang_peer_s = 5.0
+cancel_s = ${o.leaseMs / 1000 + 25}
+[cluster.state]
+rps = ${o.rps}.0
+write_rps = ${o.writes}.0
+value_kb = 32.0
+txn_ops = 24
+[cluster.cloud]
+rps = 12.0
+list_lag_s = 4.0
+[cluster.machine_limits]
+cores = ${o.cores}
+memory_mb = 350.0
+max_connections = 1945
+`;
+for (const n of nodes) {
+  const file = join(dir, `${n.label}.toml`);
+  writeFileSync(file, settings(n));
+  const args = [
+    ...(o.prof ? ['--cpu-prof', `--cpu-prof-dir=${o.prof}`, `--cpu-prof-name=${n.label}.cpuprofile`] : []),
+    '--max-old-space-size=120',
+    '--max-semi-space-size=4',
+    o.program,
+    '--config',
+    file,
+  ];
+  const [command, all] = o.pin === undefined ? ['node', args] : ['taskset', ['-c', o.pin, 'node', ...args]];
+  n.process = spawn(command, all, {
+    stdio: ['ignore', 'ignore', 'inherit'],
+    env: { ...process.env, LOG_LEVEL: o.log },
+  });
+  n.process.on('exit', (code) => {
+    n.ended = true;
+    if (!stopping) process.stderr.write(`${n.label} ended: ${code}\n`);
+  });
+}
+let stopping = false;
+
+// Users: each job is submitted until accepted, then polled until done.
+const users = { accepted: 0, done: 0, refused: 0, unanswered: 0, times: [], polls: 0, pollTimes: [] };
+let nextJob = 0;
+const ask = async (line, method, path, body, ms) => {
+  const to = nodes[luck.int(nodes.length)];
+  if (to.ended) return null;
+  return line.ask(to.listen, method, path, body, ms);
+};
+const user = async () => {
+  const line = new Line();
+  const id = `job-${String(++nextJob).padStart(6, '0')}`;
+  const body = JSON.stringify({
+    id,
+    jobClass: 'render',
+    owner: 'crew',
+    shape: 'array',
+    urgency: 'low',
+    pieces: o.tasks,
+    vcpus: 1,
+    accelerators: 0,
+    memGb: 3,
+    bundle: 'img-1',
+    imageGb: 1,
+    hostsKinds: null,
+    room: null,
+    samePlace: false,
+    scatter: false,
+    borrowed: false,
+    expectS: o.runMs / 1000,
+    saveEveryS: 0,
+    saveTakesS: 0,
+    dueS: 200,
+  });
+  const began = performance.now();
+  for (;;) {
+    if (stopping) return;
+    const a = await ask(line, 'POST', '/work', body, 5000);
+    if (a?.status === 201 || a?.status === 200) break;
+    if (a === null) users.unanswered++;
+    else users.refused++;
+    await sleep(Math.max(1, a?.retryAfter ?? 1));
+  }
+  users.accepted++;
+  users.times.push(performance.now() - began);
+  while (!stopping) {
+    await sleep((o.pollMs / 1000) * luck.between(0.9, 1.1));
+    const asked = performance.now();
+    const a = await ask(line, 'GET', `/work/${id}`, '', 2000);
+    users.polls++;
+    if (a?.status === 200) {
+      users.pollTimes.push(performance.now() - asked);
+      if (JSON.parse(a.body).status === 'done') {
+        users.done++;
+        break;
+      }
+    }
+  }
+  line.close();
+};
+const submitting = setInterval(() => void user(), o.jobs > 0 ? 1000 / o.jobs : 2 ** 30);
+
+const used = (n) => {
+  try {
+    const s = readFileSync(`/proc/${n.process.pid}/stat`, 'utf8');
+    const f = s.slice(s.lastIndexOf(')') + 2).split(' ');
+    const status = readFileSync(`/proc/${n.process.pid}/status`, 'utf8');
+    return {
+      user: Number(f[11]) / 100,
+      system: Number(f[12]) / 100,
+      peakMb: Number(/VmHWM:\s+(\d+)/.exec(status)[1]) / 1024,
+      switches: Number(/\nvoluntary_ctxt_switches:\s+(\d+)/.exec(status)[1]),
+    };
+  } catch {
+    return { user: 0, system: 0, peakMb: 0, switches: 0 };
+  }
+};
+const quantile = (list, q) => {
+  const s = [...list].sort((a, b) => a - b);
+  return s.length === 0 ? null : Math.round(s[Math.min(s.length - 1, Math.floor(q * s.length))] * 10) / 10;
+};
+
+await sleep(o.warmup);
+fleet.reset();
+Object.assign(users, { accepted: 0, done: 0, refused: 0, unanswered: 0, times: [], polls: 0, pollTimes: [] });
+const before = nodes.map(used);
+const stateBefore = { ...state.counts };
+await sleep(o.for);
+const after = nodes.map(used);
+const leader = state.keys.get('s/leader')?.value?.node;
+const spent = nodes.map((n, i) => ({
+  node: n.label,
+  leads: n.label === leader,
+  userMs: Math.round(((after[i].user - before[i].user) / o.for) * 1000),
+  systemMs: Math.round(((after[i].system - before[i].system) / o.for) * 1000),
+  peakMb: Math.round(after[i].peakMb),
+}));
+const c = fleet.counts;
+const total = spent.reduce((n, s) => n + s.userMs + s.systemMs, 0);
+const result = {
+  machines: fleet.workers.size,
+  nodes: spent,
+  coreMs: total,
+  reportsPerS: Math.round(c.sent / o.for),
+  renewedPerS: Math.round(c.renewed / o.for),
+  microsPerReport: Math.round((total * 1000) / (c.renewed / o.for)),
+  reportMs: { p50: quantile(fleet.times, 0.5), p99: quantile(fleet.times, 0.99) },
+  ...c,
+  users: {
+    accepted: users.accepted,
+    done: users.done,
+    refused: users.refused,
+    unanswered: users.unanswered,
+    submitMs: { p50: quantile(users.times, 0.5), p99: quantile(users.times, 0.99) },
+    polls: users.polls,
+    pollMs: { p50: quantile(users.pollTimes, 0.5), p99: quantile(users.pollTimes, 0.99) },
+  },
+  state: Object.fromEntries(
+    Object.entries(state.counts).map(([k, v]) => [k, Math.round((v - stateBefore[k]) / o.for)]),
+  ),
+};
+process.stdout.write(`${o.json ? JSON.stringify(result) : JSON.stringify(result, null, 1)}\n`);
+stopping = true;
+clearInterval(submitting);
+fleet.end();
+for (const n of nodes) n.process.kill('SIGTERM');
+await Promise.race([
+  Promise.all(nodes.map((n) => n.ended || new Promise((done) => n.process.on('exit', done)))),
+  sleep(8),
+]);
+process.exit(0);
