--- a/src/api/handlers.ts
+++ b/src/api/handlers.ts
@@ -14,6 +14,7 @@
 import type { Feed } from '../jobs/feed.js';
 import { activeKey, finalKey } from '../jobs/keys.js';
 import { type FinalState, isComplete, type Job, type JobSpec } from '../jobs/model.js';
+import type { Work } from '../overload/model.js';
 import type { Settings } from '../settings/settings.js';
 import { Priority } from '../state-store/budget.js';
 import type { StateFailure } from '../state-store/client.js';
@@ -214,6 +215,13 @@
   return { submit, poll, withdraw };
 };
 
+/** What a request is to the node that has too much to do; null: it is answered whatever there is to do. */
+export const workOf = (r: Incoming): Work | null => {
+  if (!r.path.startsWith('/work')) return null;
+  // A withdrawal is a change like a submission, and stops work that is of no use to anybody.
+  return r.method === 'POST' ? 'submission' : 'poll';
+};
+
 /** What arrives on the users' and workers' address, reports apart. */
 export const route =
   (users: ReturnType<typeof userHandlers>, ready: () => string | null) =>
--- a/src/node.ts
+++ b/src/node.ts
@@ -1,6 +1,6 @@
 /** One controller node: wires the slices together. Effects of the outside world come in as ports. */
 import { Effect, Queue } from 'effect';
-import { route, userHandlers } from './api/handlers.js';
+import { route, userHandlers, workOf } from './api/handlers.js';
 import { duty } from './base/duty.js';
 import { info } from './base/log.js';
 import { takeTally, tally } from './base/tally.js';
@@ -21,7 +21,9 @@
 import type { Peer, Settings } from './settings/settings.js';
 import { Priority } from './state-store/budget.js';
 import type { StatePort } from './state-store/port.js';
+import { Admission } from './overload/admission.js';
 import { Book } from './workers/book.js';
+import { REPORTS } from './workers/codec.js';
 import { type Desk, Gate, receiver, reportHandler, sendUrgent, type WorkerPort } from './workers/duty.js';
 import { Places } from './workers/places.js';
 import { Relay, relayHandler, type RelayPort } from './workers/relay.js';
@@ -53,10 +55,10 @@
 /** Between two turns: each costs writes of a budget that all controllers share. */
 const TURN_GAP_MS = 250;
 /**
- * A turn's computing takes at most about a twelfth of the node's time, since nobody sees tasks start a few tenths of a
+ * A turn's computing takes at most about a twenty-fifth of the node's time, since nobody sees tasks start a few tenths of a
  * second later; but turns that take long come this often all the same, up to a quarter of the time.
  */
-const TURN_PART = { usual: 1 / 12, most: 1 / 4 };
+const TURN_PART = { usual: 1 / 25, most: 1 / 4 };
 const LONG_GAP_MS = 800;
 const TURN_EVERY_MS = 1000;
 const UPKEEP_GAP_MS = 200;
@@ -68,7 +70,9 @@
 /** No leader is known, or it does not answer: the worker tries the next node. */
 const leaderless = retryLater('no leader');
 const NEW_LEADER = seconds(10);
-const PULSE_MS = 500;
+const PULSE = millis(500);
+const QUICK_PULSE = millis(100);
+const LATE = millis(300);
 /** A pulse so much too late is worth a line in the log. */
 const STILL_MS = 1500;
 const NO_NEWS: FleetNews = { rented: [], removed: [] };
@@ -98,6 +102,7 @@
     clock,
   );
   const contacts = new Contacts(settings);
+  const admission = new Admission(settings.limits.maxConnections, clock, () => store.writeWait());
   const fleet: { news: FleetNews } = { news: NO_NEWS };
   const leadership: Leadership = new Leadership(settings, store, feed, cache, peers, contacts, clock);
   let types: readonly MachineType[] | null = null;
@@ -121,11 +126,13 @@
   const pulse = duty(
     'pulse',
     Effect.suspend(() => {
-      const slept = clock();
-      return Effect.sleep(PULSE_MS).pipe(
+      // One that was late is looked at again soon: the node may have caught up at once.
+      const pulse = admission.lag() > LATE ? QUICK_PULSE : PULSE;
+      admission.sleeps(pulse);
+      return Effect.sleep(toMillis(pulse)).pipe(
         Effect.zipRight(
           Effect.suspend(() => {
-            const gap = toMillis(clock() - slept) - PULSE_MS;
+            const gap = toMillis(admission.woke());
             return gap < STILL_MS
               ? Effect.void
               : info('stood still', { ms: gap, leads: leadership.acting() !== null });
@@ -212,7 +219,7 @@
         yield* (t.acting() ? turn(t, view) : Effect.void).pipe(
           Effect.ensuring(Effect.sync(() => gate.open())),
         );
-        if (t.acting()) yield* sendUrgent(book, ports.workers);
+        if (t.acting()) yield* sendUrgent(book, ports.workers, admission);
         yield* Effect.sleep(turnGapMs(toMillis(view.cost)));
       }).pipe(Effect.forever);
       const tidy = duty(
@@ -295,9 +302,30 @@
     (machine) => contacts.note(machine, clock()),
   );
   const beats = peerHandler(() => peers);
+  const answer = route(users, unready);
   return {
-    handle: route(users, unready),
-    quick: reports,
+    handle: (r) => {
+      const work = workOf(r);
+      if (work === null) return answer(r);
+      const refusal = admission.enter(work);
+      if (refusal !== null) return Effect.succeed(refusal);
+      return Effect.ensuring(
+        answer(r),
+        Effect.sync(() => admission.leave(work)),
+      );
+    },
+    quick: (r, reply) => {
+      if (r.path !== REPORTS || r.method !== 'POST') return false;
+      const refusal = admission.enter('report');
+      if (refusal !== null) {
+        reply(refusal);
+        return true;
+      }
+      return reports(r, (a) => {
+        admission.leave('report');
+        reply(a);
+      });
+    },
     quickPeer: (r, reply) => (r.method === 'POST' && r.path === '/relay' ? relayed(r, reply) : false),
     handlePeer: (r) => {
       if (r.method !== 'POST') return Effect.succeed(json(405, {}, { Allow: 'POST' }));
--- a/src/state-store/budget.ts
+++ b/src/state-store/budget.ts
@@ -3,7 +3,7 @@
  * of the whole, and within it leases go before commits and commits before reads.
  */
 import { Effect } from 'effect';
-import { now } from '../base/micros.js';
+import { type Micros, now } from '../base/micros.js';
 
 export const enum Priority {
   Lease = 0,
@@ -22,7 +22,10 @@
 export class Budget {
   private tokens: number;
   private last = now();
+  /** As long as there are askers: users' requests are bounded in number (overload), duties ask one at a time. */
   private readonly waiting: Waiting[] = [];
+  /** What all of them ask for. */
+  private asked = 0;
   private timer: NodeJS.Timeout | null = null;
 
   constructor(
@@ -59,15 +62,24 @@
         const at = this.waiting.findIndex((w) => w.priority > priority);
         if (at < 0) this.waiting.push(entry);
         else this.waiting.splice(at, 0, entry);
+        this.asked += cost;
         this.arm();
         return Effect.sync(() => {
           const i = this.waiting.indexOf(entry);
-          if (i >= 0) this.waiting.splice(i, 1);
+          if (i < 0) return;
+          this.waiting.splice(i, 1);
+          this.asked -= cost;
         });
       });
     });
   }
 
+  /** How long one more would wait. */
+  wait(): Micros {
+    this.refill();
+    return Math.max(0, Math.round(((this.asked - this.tokens) / this.rate) * 1e6)) as Micros;
+  }
+
   private refill(): void {
     const t = now();
     this.tokens = Math.min(this.burst, this.tokens + ((t - this.last) / 1e6) * this.rate);
@@ -85,6 +97,7 @@
     this.refill();
     while (this.waiting.length > 0 && this.tokens >= Math.min(this.waiting[0]!.cost, this.burst)) {
       const w = this.waiting.shift()!;
+      this.asked -= w.cost;
       this.tokens -= w.cost;
       w.go();
     }
--- a/src/state-store/client.ts
+++ b/src/state-store/client.ts
@@ -74,6 +74,11 @@
     this.writes.setRate(this.settings.state.writeRps * part);
   }
 
+  /** How long a change asked for now would wait for its part of the rate. */
+  writeWait(): Micros {
+    return this.writes.wait();
+  }
+
   transact(
     when: readonly Condition[],
     then: readonly Write[],
--- a/src/state-store/port.ts
+++ b/src/state-store/port.ts
@@ -11,6 +11,7 @@
   | 'extend'
   | 'release'
   | 'leading'
+  | 'writeWait'
   | 'lastServed'
   | 'lastRefused'
 >;
--- a/src/workers/duty.ts
+++ b/src/workers/duty.ts
@@ -7,6 +7,7 @@
 import { tally } from '../base/tally.js';
 import type { Contacts } from '../leadership/contacts.js';
 import type { Leadership } from '../leadership/leadership.js';
+import type { Admission } from '../overload/admission.js';
 import type { Settings } from '../settings/settings.js';
 import type { Book } from './book.js';
 import { type Order, readReport, type Receive, REPORTS, senderOf, writeOrders } from './codec.js';
@@ -155,7 +156,11 @@
   };
 
 /** Sends what must not wait for a report. */
-export const sendUrgent = (book: Book, port: WorkerPort): Effect.Effect<void> =>
+export const sendUrgent = (
+  book: Book,
+  port: WorkerPort,
+  admission: Pick<Admission, 'enter' | 'leave'>,
+): Effect.Effect<void> =>
   Effect.suspend(() => {
     if (book.urgent.length === 0) return Effect.void;
     const byMachine = new Map<string, { addr: string; tenure: number; orders: Order[] }>();
@@ -165,10 +170,20 @@
       else byMachine.set(machine.id, { addr: machine.addr, tenure: machine.tenure, orders: [order] });
     }
     book.urgent = [];
-    tally('orders', byMachine.size);
     return Effect.forEach(
       byMachine.values(),
-      (e) => Effect.forkDaemon(port.orders(e.addr, writeOrders(book.term, e.orders, e.tenure))),
+      (e) => {
+        // What is shed here goes with the answer to the worker's next report all the same.
+        if (admission.enter('order') !== null) return Effect.void;
+        tally('orders');
+        const sent = port.orders(e.addr, writeOrders(book.term, e.orders, e.tenure));
+        return Effect.forkDaemon(
+          Effect.ensuring(
+            sent,
+            Effect.sync(() => admission.leave('order')),
+          ),
+        );
+      },
       { discard: true },
     );
   });
--- a/src/workers/relay.ts
+++ b/src/workers/relay.ts
@@ -24,7 +24,7 @@
 }
 
 /** Reports are gathered for so long before they are passed on. */
-const GATHER_MS = 120;
+const GATHER_MS = 160;
 /** A leader may wait for its next turn before it answers; past this it stands still. */
 export const RELAY_TIMEOUT_MS = 2500;
 /** Batches on their way at once; what comes meanwhile is gathered. */
--- /dev/null
+++ b/test/rules-restart.test.ts
@@ -0,0 +1,15 @@
+/** Everything restarts at once, and more is asked than there is room to answer. */
+import { playDays } from './world/days.js';
+
+playDays(
+  [
+    ['everything restarts at once', { everythingRestarts: true }, [61, 62, 63]],
+    [
+      'everything restarts at once, with crashes and lost answers',
+      { everythingRestarts: true, nodeCrash: true, lost: true },
+      [64],
+    ],
+    ['more is asked than a controller can answer', { flood: true, nodeCrash: true }, [65, 66]],
+  ],
+  ['everythingRestarts', 'flood', 'relayed'],
+);
--- a/test/world/state.ts
+++ b/test/world/state.ts
@@ -11,6 +11,7 @@
   type StateFailure,
 } from '../../src/state-store/client.js';
 import type { StatePort } from '../../src/state-store/port.js';
+import { micros } from '../../src/base/micros.js';
 import type { Luck, Time } from './time.js';
 
 export class StateService {
@@ -122,6 +123,7 @@
       });
     return Object.assign(port, {
       leading: () => undefined,
+      writeWait: () => micros(0),
       transact: (when, then) =>
         call<Outcome>(() => {
           for (const w of then) {
--- a/test/world/world.ts
+++ b/test/world/world.ts
@@ -124,6 +124,10 @@
   /** Jobs submitted with a mistake, and machines on which everything fails. */
   readonly brokenJobs?: boolean;
   readonly faultyMachines?: boolean;
+  /** All controllers, then half of the machines, while the state service is out, with a burst of jobs. */
+  readonly everythingRestarts?: boolean;
+  /** Hundreds of polls meet a controller that is seconds behind: some are refused, with a time to come back. */
+  readonly flood?: boolean;
   /** A team without guarantee comes with one huge array and many tiny jobs. */
   readonly guests?: boolean;
 }
@@ -644,6 +648,29 @@
           this.time.after(l.between(0, 30e6), () => this.submit(null, { tasks: 1, cpus: 0.25 }));
       });
     }
+    if (t.everythingRestarts) {
+      this.time.after(l.between(40e6, 60e6), () => {
+        this.strike('everythingRestarts');
+        this.state.outage(true);
+        this.time.after(25e6, () => this.state.outage(false));
+        for (const n of this.nodes) this.crash(n, l.between(2e6, 8e6));
+        const up = [...this.workers.keys()];
+        for (const id of up.filter((_, i) => i % 2 === 0))
+          this.time.after(l.between(1e6, 10e6), () => this.take(id, false));
+        for (let i = 0; i < 20; i++) this.time.after(l.between(0, 20e6), () => this.submit(null));
+      });
+    }
+    if (t.flood) {
+      kinds.push(() => {
+        const node = l.chance(0.5) ? (this.leader() ?? pick()) : pick();
+        this.host(node)?.freeze(this.time, 1.8e6);
+        const ids = [...this.jobs.keys()];
+        for (let i = 0; i < 400; i++)
+          this.call(node, 'GET', `/work/${ids[l.int(ids.length)]}`, null, (a) => {
+            if (a?.status === 503 && Number(a.headers?.['Retry-After']) >= 1) this.strike('flood');
+          });
+      });
+    }
     const machine = () => [...this.workers.values()][l.int(Math.max(1, this.workers.size))];
     if (t.machineDie) {
       kinds.push(() => {
