--- a/src/api/handlers.ts
+++ b/packages/controller/src/api/handlers.ts
@@ -4,10 +4,10 @@
  * needs a view at least as new as the request.
  */
 import { Effect, Either, Random } from 'effect';
-import { type Answer, type Incoming, json, retryLater } from '../base/http-server.js';
-import { debug } from '../base/log.js';
-import { tally } from '../base/tally.js';
-import type { Micros } from '../base/micros.js';
+import { type Answer, type Incoming, json, retryLater } from '@lilacvalve/base/http-server';
+import { debug } from '@lilacvalve/base/log';
+import { tally } from '../tally.js';
+import type { Micros } from '@lilacvalve/base/micros';
 import type { MachineType } from '../fleet/model.js';
 import type { JobCache } from '../jobs/cache.js';
 import { decodeFinal, encodeJob, JOB_ID, readSubmission, STATUS_WORDS } from '../jobs/codec.js';
--- a/src/fleet/duty.ts
+++ b/packages/controller/src/fleet/duty.ts
@@ -1,8 +1,8 @@
 /** The leader's dealings with the cloud: listing, renting, returning. */
 import { Effect } from 'effect';
-import { duty } from '../base/duty.js';
-import { info } from '../base/log.js';
-import { type Micros, seconds } from '../base/micros.js';
+import { duty } from '@lilacvalve/base/duty';
+import { info } from '@lilacvalve/base/log';
+import { type Micros, seconds } from '@lilacvalve/base/micros';
 import type { CycleView, Turn } from '../scheduler/turn.js';
 import type { Machine } from '../workers/book.js';
 import { type Awaited, Boots, countsFor, isOverdue, roomOnTheWay } from './boots.js';
--- a/src/fleet/model.ts
+++ b/packages/controller/src/fleet/model.ts
@@ -1,4 +1,4 @@
-import type { Micros } from '../base/micros.js';
+import type { Micros } from '@lilacvalve/base/micros';
 
 export interface MachineType {
   readonly name: string;
--- a/src/jobs/codec.ts
+++ b/packages/controller/src/jobs/codec.ts
@@ -1,7 +1,7 @@
 /** Wire and durable forms of jobs. Wire names stay in this file. */
 import { Either, ParseResult, Schema } from 'effect';
-import { type Micros, seconds } from '../base/micros.js';
-import { decodeRanges, encodeRanges } from '../base/ranges.js';
+import { type Micros, seconds } from '@lilacvalve/base/micros';
+import { decodeRanges, encodeRanges } from './ranges.js';
 import {
   type CycleRecord,
   type FinalState,
--- a/src/jobs/feed.ts
+++ b/packages/controller/src/jobs/feed.ts
@@ -3,9 +3,9 @@
  * question. All waiting questions share one read.
  */
 import { Deferred, Effect } from 'effect';
-import { duty } from '../base/duty.js';
-import { info } from '../base/log.js';
-import { type Micros, millis, toMillis } from '../base/micros.js';
+import { duty } from '@lilacvalve/base/duty';
+import { info } from '@lilacvalve/base/log';
+import { type Micros, millis, toMillis } from '@lilacvalve/base/micros';
 import type { Entry, StateFailure } from '../state-store/client.js';
 import type { StatePort } from '../state-store/port.js';
 import type { JobCache } from './cache.js';
--- a/src/jobs/model.ts
+++ b/packages/controller/src/jobs/model.ts
@@ -2,7 +2,7 @@
  * The domain model: what a job is, what is durably known of it, and the one transition function. Every
  * node applies the same events in the same order, so every node's view at a revision is the same.
  */
-import type { Micros } from '../base/micros.js';
+import type { Micros } from '@lilacvalve/base/micros';
 
 export type Shape = 'array' | 'gang' | 'service';
 /** Higher is more urgent. */
--- a/src/leadership/leadership.ts
+++ b/packages/controller/src/leadership/leadership.ts
@@ -4,9 +4,9 @@
  * conditional on its revision, so that a deposed leader's late transaction fails.
  */
 import { Effect, Queue, Random } from 'effect';
-import { duty } from '../base/duty.js';
-import { info } from '../base/log.js';
-import { DRIFT, type Micros, millis, plus, seconds, toMillis } from '../base/micros.js';
+import { duty } from '@lilacvalve/base/duty';
+import { info } from '@lilacvalve/base/log';
+import { DRIFT, type Micros, millis, plus, seconds, toMillis } from '@lilacvalve/base/micros';
 import type { JobCache } from '../jobs/cache.js';
 import type { Feed } from '../jobs/feed.js';
 import { LEADER, TERM } from '../jobs/keys.js';
--- a/src/leadership/peers.ts
+++ b/packages/controller/src/leadership/peers.ts
@@ -8,10 +8,10 @@
  */
 import { Effect, Schema } from 'effect';
 import { pack, unpack } from 'msgpackr';
-import { duty } from '../base/duty.js';
-import { HttpClient, keptOpen, NoAnswer } from '../base/http-client.js';
-import { type Answer, type Incoming, json } from '../base/http-server.js';
-import { type Micros, plus, seconds } from '../base/micros.js';
+import { duty } from '@lilacvalve/base/duty';
+import { HttpClient, keptOpen, NoAnswer } from '@lilacvalve/base/http-client';
+import { type Answer, type Incoming, json } from '@lilacvalve/base/http-server';
+import { type Micros, plus, seconds } from '@lilacvalve/base/micros';
 import type { FleetNews } from '../fleet/model.js';
 import type { Peer, Settings } from '../settings/settings.js';
 
--- a/src/main.ts
+++ b/packages/controller/src/main.ts
@@ -1,10 +1,10 @@
 /** The controller's entry: flags, checked settings, wiring, orderly stop. */
 import { Command } from 'commander';
 import { Effect, Either, Fiber } from 'effect';
-import { parseAddress } from './base/http-client.js';
-import { serve } from './base/http-server.js';
-import { error, info, logLayer } from './base/log.js';
-import { micros, now } from './base/micros.js';
+import { parseAddress } from '@lilacvalve/base/http-client';
+import { serve } from '@lilacvalve/base/http-server';
+import { error, info, logLayer } from '@lilacvalve/base/log';
+import { micros, now } from '@lilacvalve/base/micros';
 import { Cloud } from './fleet/cloud.js';
 import { HttpPeers } from './leadership/peers.js';
 import { makeNode } from './node.js';
--- a/src/node.ts
+++ b/packages/controller/src/node.ts
@@ -1,11 +1,11 @@
 /** One controller node: wires the slices together. Effects of the outside world come in as ports. */
 import { Effect, Queue } from 'effect';
 import { route, userHandlers, workOf } from './api/handlers.js';
-import { duty } from './base/duty.js';
-import { info } from './base/log.js';
-import { takeTally, tally } from './base/tally.js';
-import { type Micros, millis, seconds, toMillis } from './base/micros.js';
-import { type Answer, type Incoming, json, type Quick, retryLater } from './base/http-server.js';
+import { duty } from '@lilacvalve/base/duty';
+import { info } from '@lilacvalve/base/log';
+import { takeTally, tally } from './tally.js';
+import { type Micros, millis, seconds, toMillis } from '@lilacvalve/base/micros';
+import { type Answer, type Incoming, json, type Quick, retryLater } from '@lilacvalve/base/http-server';
 import type { CloudPort } from './fleet/cloud.js';
 import { fleetDuty } from './fleet/duty.js';
 import type { FleetNews, MachineType } from './fleet/model.js';
--- a/src/overload/admission.ts
+++ b/packages/controller/src/overload/admission.ts
@@ -1,7 +1,7 @@
 /** Keeps the counts and the lag that `admit` decides from. */
-import { type Answer, retryLater } from '../base/http-server.js';
-import { type Micros, plus } from '../base/micros.js';
-import { tally } from '../base/tally.js';
+import { type Answer, retryLater } from '@lilacvalve/base/http-server';
+import { type Micros, plus } from '@lilacvalve/base/micros';
+import { tally } from '../tally.js';
 import { admit } from './admit.js';
 import { type Limits, limitsOf, type Load, type Work } from './model.js';
 
--- a/src/overload/admit.ts
+++ b/packages/controller/src/overload/admit.ts
@@ -3,7 +3,7 @@
  * once when to come back, spread over a time that grows with what there is too much of, so that the refused do not
  * come back together.
  */
-import { toSeconds } from '../base/micros.js';
+import { toSeconds } from '@lilacvalve/base/micros';
 import type { Limits, Load, Work } from './model.js';
 
 /** Protocol, "Users": a longer `Retry-After` than this is not waited for. */
--- a/src/overload/model.ts
+++ b/packages/controller/src/overload/model.ts
@@ -1,5 +1,5 @@
 /** What a node may have more of than its share of a core, or of the state service, allows. */
-import { type Micros, millis, seconds } from '../base/micros.js';
+import { type Micros, millis, seconds } from '@lilacvalve/base/micros';
 
 /** Kinds of work, the least worth first. A lease's renewal is this node's own doing and is never shed. */
 export const WORK = ['poll', 'submission', 'order', 'report'] as const;
--- a/src/scheduler/duty.ts
+++ b/packages/controller/src/scheduler/duty.ts
@@ -3,8 +3,8 @@
  * then lets them take effect. A start is never sent before its record is committed.
  */
 import { Effect } from 'effect';
-import { info } from '../base/log.js';
-import { type Micros, plus, seconds } from '../base/micros.js';
+import { info } from '@lilacvalve/base/log';
+import { type Micros, plus, seconds } from '@lilacvalve/base/micros';
 import { schedule } from './cycle.js';
 import { commit } from './records.js';
 import { surplusOf } from './surplus.js';
--- a/src/scheduler/model.ts
+++ b/packages/controller/src/scheduler/model.ts
@@ -1,4 +1,4 @@
-import type { Micros } from '../base/micros.js';
+import type { Micros } from '@lilacvalve/base/micros';
 import type { Job } from '../jobs/model.js';
 import type { TeamSettings } from '../settings/settings.js';
 
--- a/src/scheduler/rank.ts
+++ b/packages/controller/src/scheduler/rank.ts
@@ -7,7 +7,7 @@
  * in the order of submission. Only what is already missed counts: estimates are off by half, and jobs in
  * progress would fall behind for nothing.
  */
-import type { Micros } from '../base/micros.js';
+import type { Micros } from '@lilacvalve/base/micros';
 import type { Job } from '../jobs/model.js';
 
 const BEHIND = 1e16;
--- a/src/scheduler/records.ts
+++ b/packages/controller/src/scheduler/records.ts
@@ -3,7 +3,7 @@
  * and jobs that are over leave behind. Every write is conditional on the term.
  */
 import { Effect, Random } from 'effect';
-import { debug, info } from '../base/log.js';
+import { debug, info } from '@lilacvalve/base/log';
 import { encodeChange, encodeFinal, encodeJob, encodeRecord } from '../jobs/codec.js';
 import { activeKey, finalKey, recordKey, TERM } from '../jobs/keys.js';
 import { finalState, type Job, type JobChange } from '../jobs/model.js';
--- a/src/scheduler/turn.ts
+++ b/packages/controller/src/scheduler/turn.ts
@@ -1,5 +1,5 @@
 /** What one reign's duties share: the ports, the book, and the questions a decision must ask. */
-import type { Micros } from '../base/micros.js';
+import type { Micros } from '@lilacvalve/base/micros';
 import type { FleetNews, MachineType } from '../fleet/model.js';
 import type { JobCache } from '../jobs/cache.js';
 import type { Feed } from '../jobs/feed.js';
--- a/src/scheduler/views.ts
+++ b/packages/controller/src/scheduler/views.ts
@@ -1,5 +1,5 @@
 /** What the cycle is given: holders, machines, queues, weights and companions as the book and the jobs have them now. */
-import { type Micros, seconds } from '../base/micros.js';
+import { type Micros, seconds } from '@lilacvalve/base/micros';
 import { isComplete, type Job } from '../jobs/model.js';
 import { type Book, type Ends, endsOf } from '../workers/book.js';
 import type { Companion, Holder, NodeView, QueuedJob } from './model.js';
--- a/src/settings/settings.ts
+++ b/packages/controller/src/settings/settings.ts
@@ -2,7 +2,7 @@
 import { readFileSync } from 'node:fs';
 import { Either, ParseResult, Schema } from 'effect';
 import { parse } from 'smol-toml';
-import { type Micros, millis, seconds } from '../base/micros.js';
+import { type Micros, millis, seconds } from '@lilacvalve/base/micros';
 
 const Address = Schema.String.pipe(
   Schema.pattern(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, { message: () => 'must be IPv4:port' }),
--- a/src/state-store/budget.ts
+++ b/packages/controller/src/state-store/budget.ts
@@ -3,7 +3,7 @@
  * of the whole, and within it leases go before commits and commits before reads.
  */
 import { Effect } from 'effect';
-import { type Micros, now } from '../base/micros.js';
+import { type Micros, now } from '@lilacvalve/base/micros';
 
 export const enum Priority {
   Lease = 0,
--- a/src/state-store/client.ts
+++ b/packages/controller/src/state-store/client.ts
@@ -3,9 +3,9 @@
  * surely not carried out, `NoAnswer` may have been, or may be later.
  */
 import { Data, Effect } from 'effect';
-import { HttpClient, keptOpen, type NoAnswer, type Reply } from '../base/http-client.js';
-import { type Micros, now, toMillis } from '../base/micros.js';
-import { tally } from '../base/tally.js';
+import { HttpClient, keptOpen, type NoAnswer, type Reply } from '@lilacvalve/base/http-client';
+import { type Micros, now, toMillis } from '@lilacvalve/base/micros';
+import { tally } from '../tally.js';
 import type { Settings } from '../settings/settings.js';
 import { Budget, Priority } from './budget.js';
 
--- a/src/workers/duty.ts
+++ b/packages/controller/src/workers/duty.ts
@@ -1,10 +1,10 @@
 /** Answers reports while this node leads, and sends urgent stops directly. */
 import * as http from 'node:http';
 import { Effect } from 'effect';
-import { type Answer, json, type Quick } from '../base/http-server.js';
-import { HttpClient } from '../base/http-client.js';
-import { type Micros, seconds } from '../base/micros.js';
-import { tally } from '../base/tally.js';
+import { type Answer, json, type Quick } from '@lilacvalve/base/http-server';
+import { HttpClient } from '@lilacvalve/base/http-client';
+import { type Micros, seconds } from '@lilacvalve/base/micros';
+import { tally } from '../tally.js';
 import type { Contacts } from '../leadership/contacts.js';
 import type { Leadership } from '../leadership/leadership.js';
 import type { Admission } from '../overload/admission.js';
--- a/src/workers/relay.ts
+++ b/packages/controller/src/workers/relay.ts
@@ -10,11 +10,11 @@
  */
 import { Effect, Queue } from 'effect';
 import { pack, unpack } from 'msgpackr';
-import { duty } from '../base/duty.js';
-import { type Answer, json, type Quick, retryLater } from '../base/http-server.js';
-import { HttpClient, keptOpen, type NoAnswer } from '../base/http-client.js';
-import { type Micros, millis } from '../base/micros.js';
-import { tally } from '../base/tally.js';
+import { duty } from '@lilacvalve/base/duty';
+import { type Answer, json, type Quick, retryLater } from '@lilacvalve/base/http-server';
+import { HttpClient, keptOpen, type NoAnswer } from '@lilacvalve/base/http-client';
+import { type Micros, millis } from '@lilacvalve/base/micros';
+import { tally } from '../tally.js';
 import type { Peer } from '../settings/settings.js';
 import { type Answers, plainBody, readReport, type Receive } from './codec.js';
 
--- a/test/blame.test.ts
+++ b/packages/controller/test/blame.test.ts
@@ -1,11 +1,11 @@
 /** Blame: a seeded fleet with faulty machines and jobs submitted with a mistake, tried as the scheduler would. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { type Micros, plus, seconds } from '../src/base/micros.js';
+import { type Micros, plus, seconds } from '@lilacvalve/base/micros';
 import type { Job } from '../src/jobs/model.js';
 import { Blame } from '../src/workers/blame.js';
-import { job } from './world/job.js';
-import { Luck } from './world/time.js';
+import { job } from './support/job.js';
+import { Luck } from './support/luck.js';
 
 const ZERO = 0 as Micros;
 const MACHINES = 12;
--- a/test/book.test.ts
+++ b/packages/controller/test/book.test.ts
@@ -1,13 +1,13 @@
 /** The leader's book: when a placement counts as gone. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { type Micros, seconds } from '../src/base/micros.js';
+import { type Micros, seconds } from '@lilacvalve/base/micros';
 import { JobCache } from '../src/jobs/cache.js';
 import { encodeJob } from '../src/jobs/codec.js';
 import { activeKey } from '../src/jobs/keys.js';
 import { Book } from '../src/workers/book.js';
-import { job } from './world/job.js';
-import { worldSettings } from './world/world.js';
+import { job } from './support/job.js';
+import { worldSettings } from './support/settings.js';
 
 // A machine the new leader had never heard of once lapsed without waiting for enough nodes to know the term.
 test('leases of unheard machines run out only after the new term is acknowledged', () => {
--- a/test/cache.test.ts
+++ b/packages/controller/test/cache.test.ts
@@ -5,7 +5,7 @@
 import { encodeJob, encodeRecord } from '../src/jobs/codec.js';
 import { activeKey, recordKey } from '../src/jobs/keys.js';
 import { finalState } from '../src/jobs/model.js';
-import { job } from './world/job.js';
+import { job } from './support/job.js';
 
 const wire = (v: unknown): unknown => JSON.parse(JSON.stringify(v));
 
--- a/test/contacts.test.ts
+++ b/packages/controller/test/contacts.test.ts
@@ -2,10 +2,10 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { pack } from 'msgpackr';
-import { type Micros, plus, seconds } from '../src/base/micros.js';
+import { type Micros, plus, seconds } from '@lilacvalve/base/micros';
 import { Contacts } from '../src/leadership/contacts.js';
 import { readBeat } from '../src/leadership/peers.js';
-import { worldSettings } from './world/world.js';
+import { worldSettings } from './support/settings.js';
 
 const ZERO = 0 as Micros;
 const heardBy = (n: number): Contacts => {
--- a/test/fleet.test.ts
+++ b/packages/controller/test/fleet.test.ts
@@ -1,12 +1,12 @@
 /** What to rent and to return. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { type Micros, seconds } from '../src/base/micros.js';
+import { type Micros, seconds } from '@lilacvalve/base/micros';
 import { type Awaited, Boots, countsFor, isOverdue, roomOnTheWay } from '../src/fleet/boots.js';
 import { type Offer, type PlanInput, type Rental, rentals, returns, typesWanted } from '../src/fleet/plan.js';
 import type { Job, JobSpec } from '../src/jobs/model.js';
-import { job as anyJob } from './world/job.js';
-import { TYPES } from './world/world.js';
+import { job as anyJob } from './support/job.js';
+import { TYPES } from './support/settings.js';
 
 const job = (over: Partial<JobSpec> = {}): Job =>
   anyJob('job-1', { urgency: 1, cpus: 4, spot: false, ...over });
--- a/test/program.test.ts
+++ b/packages/controller/test/program.test.ts
@@ -7,11 +7,11 @@
 import { test } from 'node:test';
 import { Either } from 'effect';
 import fc from 'fast-check';
-import { decodeRanges, encodeRanges } from '../src/base/ranges.js';
+import { decodeRanges, encodeRanges } from '../src/jobs/ranges.js';
 import { decodeJob, decodeRecord, encodeJob, encodeRecord } from '../src/jobs/codec.js';
 import { parseSettings } from '../src/settings/settings.js';
 
-const FIXTURE = 'test/fixtures/node.toml';
+const FIXTURE = 'packages/controller/test/fixtures/node.toml';
 const text = readFileSync(FIXTURE, 'utf8');
 
 test('settings: unknown fields are ignored, times become microseconds, faults name the field', () => {
--- a/test/scheduler.test.ts
+++ b/packages/controller/test/scheduler.test.ts
@@ -2,13 +2,13 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import fc from 'fast-check';
-import { type Micros, seconds } from '../src/base/micros.js';
+import { type Micros, seconds } from '@lilacvalve/base/micros';
 import type { Job, JobSpec, Urgency } from '../src/jobs/model.js';
 import { schedule } from '../src/scheduler/cycle.js';
 import type { CycleInput, CycleResult, Holder, NodeView, QueuedJob } from '../src/scheduler/model.js';
 import { surplusOf } from '../src/scheduler/surplus.js';
-import { job } from './world/job.js';
-import { plainFinder } from './world/plain-place.js';
+import { job } from './support/job.js';
+import { plainFinder } from './support/plain-place.js';
 import { type Promised, rankOf } from '../src/scheduler/rank.js';
 
 const ZERO = 0 as Micros;
--- a/test/server.test.ts
+++ b/packages/controller/test/server.test.ts
@@ -4,9 +4,9 @@
 import type { AddressInfo } from 'node:net';
 import { test } from 'node:test';
 import { Effect, Exit, Scope } from 'effect';
-import { json, serve } from '../src/base/http-server.js';
+import { json, serve } from '@lilacvalve/base/http-server';
 import { Gate } from '../src/workers/duty.js';
-import { type Micros, seconds } from '../src/base/micros.js';
+import { type Micros, seconds } from '@lilacvalve/base/micros';
 
 const get = (port: number, path: string): Promise<{ status: number; retry: string | undefined }> =>
   new Promise((done, fail) => {
--- a/tools/recovery.ts
+++ b/packages/lab/src/recovery.ts
@@ -3,7 +3,7 @@
  * time. Run by `npm run recovery -- [days]`; times count from when the state service answers again, the first moment at
  * which anything durable could be done.
  */
-import { World } from '../test/world/world.js';
+import { World } from './world/world.js';
 
 const days = Number(process.argv[2] ?? 20);
 type Mark =
--- a/tools/turns.ts
+++ b/packages/lab/src/turns.ts
@@ -2,12 +2,12 @@
  * Times the pure cycle on a full fleet: machines all busy, thousands of tasks waiting, as the larger deployments have
  * it. Run by `npm run turns -- [machines] [waiting] [rounds]`; prints the middle and the longest of the rounds.
  */
-import type { Micros } from '../src/base/micros.js';
-import type { Job } from '../src/jobs/model.js';
-import { schedule } from '../src/scheduler/cycle.js';
-import type { CycleInput, Holder, NodeView, QueuedJob } from '../src/scheduler/model.js';
-import { surplusOf } from '../src/scheduler/surplus.js';
-import { job } from '../test/world/job.js';
+import type { Micros } from '@lilacvalve/base/micros';
+import type { Job } from '@lilacvalve/controller/jobs/model';
+import { schedule } from '@lilacvalve/controller/scheduler/cycle';
+import type { CycleInput, Holder, NodeView, QueuedJob } from '@lilacvalve/controller/scheduler/model';
+import { surplusOf } from '@lilacvalve/controller/scheduler/surplus';
+import { job } from '@lilacvalve/controller/support/job';
 
 const [machines = 600, waiting = 5000, rounds = 200] = process.argv.slice(2).map(Number);
 const ZONES = ['a', 'b', 'c', 'd'];
--- a/test/world/state.ts
+++ b/packages/lab/src/world/state.ts
@@ -1,7 +1,7 @@
 /** Stand-in for the state service, with outages, refusals, lost answers and late transactions. */
 import { Effect } from 'effect';
-import type { NoAnswer } from '../../src/base/http-client.js';
-import { NoAnswer as Lost } from '../../src/base/http-client.js';
+import type { NoAnswer } from '@lilacvalve/base/http-client';
+import { NoAnswer as Lost } from '@lilacvalve/base/http-client';
 import {
   Refused,
   type Change,
@@ -9,10 +9,11 @@
   type Entry,
   type Outcome,
   type StateFailure,
-} from '../../src/state-store/client.js';
-import type { StatePort } from '../../src/state-store/port.js';
-import { micros } from '../../src/base/micros.js';
-import type { Luck, Time } from './time.js';
+} from '@lilacvalve/controller/state-store/client';
+import type { StatePort } from '@lilacvalve/controller/state-store/port';
+import { micros } from '@lilacvalve/base/micros';
+import type { Luck } from '@lilacvalve/controller/support/luck';
+import type { Time } from './time.js';
 
 export class StateService {
   readonly keys = new Map<string, { value: string; stamp: number; lease: number | null }>();
--- a/test/world/time.ts
+++ b/packages/lab/src/world/time.ts
@@ -1,6 +1,6 @@
 /** A virtual clock and a scheduler of our own: the real program runs, on seeded, simulated time. */
 import { Clock, Duration, Effect, Fiber, Layer, Logger, Random, Scheduler } from 'effect';
-import { type Micros, micros } from '../../src/base/micros.js';
+import { type Micros, micros } from '@lilacvalve/base/micros';
 
 interface Event {
   readonly at: number;
@@ -8,31 +8,6 @@
   readonly go: () => void;
 }
 
-/** xorshift: the world's own luck, apart from what the program draws. */
-export class Luck {
-  private s: number;
-  constructor(seed: number) {
-    this.s = (seed * 2654435761 + 97) >>> 0 || 1;
-  }
-  next(): number {
-    this.s ^= this.s << 13;
-    this.s >>>= 0;
-    this.s ^= this.s >>> 17;
-    this.s ^= this.s << 5;
-    this.s >>>= 0;
-    return this.s / 4294967296;
-  }
-  between(a: number, b: number): number {
-    return a + (b - a) * this.next();
-  }
-  int(n: number): number {
-    return Math.floor(this.next() * n);
-  }
-  chance(p: number): boolean {
-    return this.next() < p;
-  }
-}
-
 export class Time {
   now = 0;
   private order = 0;
--- a/test/world/worker.ts
+++ b/packages/lab/src/world/worker.ts
@@ -1,8 +1,9 @@
 /** Stand-in for one machine and its worker, by the protocol: sessions, tokens, leases, gangs, late commands. */
 import { type Effect, Exit } from 'effect';
-import type { Answer, Incoming } from '../../src/base/http-server.js';
+import type { Answer, Incoming } from '@lilacvalve/base/http-server';
 import type { Place, Rules, Spec } from './rules.js';
-import type { Luck, Time } from './time.js';
+import type { Luck } from '@lilacvalve/controller/support/luck';
+import type { Time } from './time.js';
 
 export interface JobTruth extends Spec {
   readonly runUs: number;
--- a/test/world/world.ts
+++ b/packages/lab/src/world/world.ts
@@ -3,75 +3,20 @@
  * the protocol's rules checked after every step.
  */
 import { Effect, Exit, Fiber } from 'effect';
-import { NoAnswer } from '../../src/base/http-client.js';
-import type { Answer, Incoming, Quick } from '../../src/base/http-server.js';
-import { seconds, type Micros, micros } from '../../src/base/micros.js';
-import { CloudRefused, type CloudPort } from '../../src/fleet/cloud.js';
-import type { ListedMachine, MachineType } from '../../src/fleet/model.js';
-import { makeNode, type Node } from '../../src/node.js';
-import type { Settings } from '../../src/settings/settings.js';
+import { NoAnswer } from '@lilacvalve/base/http-client';
+import type { Answer, Incoming, Quick } from '@lilacvalve/base/http-server';
+import { type Micros, micros } from '@lilacvalve/base/micros';
+import { CloudRefused, type CloudPort } from '@lilacvalve/controller/fleet/cloud';
+import type { ListedMachine, MachineType } from '@lilacvalve/controller/fleet/model';
+import { makeNode, type Node } from '@lilacvalve/controller/node';
+import type { Settings } from '@lilacvalve/controller/settings/settings';
+import { TYPES, worldSettings } from '@lilacvalve/controller/support/settings';
 import { Rules } from './rules.js';
 import { StateService } from './state.js';
-import { Host, Luck, Time } from './time.js';
+import { Luck } from '@lilacvalve/controller/support/luck';
+import { Host, Time } from './time.js';
 import { type JobTruth, type Net, Worker } from './worker.js';
 
-export const ZONES = ['a', 'b'];
-export const TYPES: MachineType[] = [
-  {
-    name: 'c8',
-    cpus: 8,
-    gpus: 0,
-    memGb: 32,
-    cacheGb: 50,
-    fetchGbPerS: 1,
-    price: 1,
-    spotPrice: 0.4,
-    boot: seconds(10),
-    zones: ZONES,
-  },
-  {
-    name: 'g4',
-    cpus: 8,
-    gpus: 4,
-    memGb: 64,
-    cacheGb: 50,
-    fetchGbPerS: 1,
-    price: 5,
-    spotPrice: 2,
-    boot: seconds(15),
-    zones: ZONES,
-  },
-];
-export const worldSettings = (label: string, over: Partial<Settings> = {}): Settings => ({
-  label,
-  zone: 'a',
-  listen: '127.0.0.1:1',
-  peerListen: '127.0.0.1:2',
-  peers: ['n0', 'n1', 'n2'].filter((n) => n !== label).map((n) => ({ label: n, zone: 'a', address: '' })),
-  cloudAddress: '127.0.0.1:3',
-  stateAddress: '127.0.0.1:4',
-  nodes: 3,
-  zones: ZONES,
-  skew: micros(5000),
-  teams: [
-    { name: 'red', guarantee: { cpus: 8, gpus: 0 }, limit: { cpus: 24, gpus: 0 } },
-    { name: 'blue', guarantee: { cpus: 0, gpus: 0 }, limit: { cpus: 0, gpus: 0 } },
-    { name: 'guest', guarantee: { cpus: 0, gpus: 0 }, limit: { cpus: 0, gpus: 0 } },
-  ],
-  objectives: [],
-  workers: {
-    report: seconds(2),
-    lease: seconds(12),
-    gangWait: seconds(20),
-    gangPeer: seconds(4),
-    cancel: seconds(35),
-  },
-  state: { rps: 100, writeRps: 30, valueBytes: 16384, txnOps: 20 },
-  cloud: { rps: 4, listLag: seconds(4) },
-  limits: { cores: 0.3, memoryMb: 200, maxConnections: 1000 },
-  ...over,
-});
-
 /** As the server does: outside any fiber if that takes it, else by the handler. */
 const handled = (
   quick: Quick,
--- a/test/api.test.ts
+++ b/packages/lab/test/api.test.ts
@@ -2,8 +2,8 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { Exit } from 'effect';
-import type { Answer } from '../src/base/http-server.js';
-import { World } from './world/world.js';
+import type { Answer } from '@lilacvalve/base/http-server';
+import { World } from '../src/world/world.js';
 
 const ask = (w: World, method: string, path: string, body: unknown = null, node = 'n0'): Answer => {
   const raw = typeof body === 'string' ? body : body === null ? '' : JSON.stringify(body);
--- a/test/world/days.ts
+++ b/packages/lab/test/days.ts
@@ -1,7 +1,7 @@
 /** Seeded random days: the real nodes against stand-ins on virtual time, the rules checked after every step. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { GROWN, SMALL, type Troubles, World } from './world.js';
+import { GROWN, SMALL, type Troubles, World } from '../src/world/world.js';
 
 export type Day = readonly [name: string, troubles: Troubles, seeds: readonly number[]];
 
--- a/test/leadership.test.ts
+++ b/packages/lab/test/leadership.test.ts
@@ -1,7 +1,7 @@
 /** Who leads after an outage, on the real nodes over the stand-in state service. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { World } from './world/world.js';
+import { World } from '../src/world/world.js';
 
 // All controllers restarted while the state service was out: the lead stayed named as an ended process's until its lease,
 // which had its full time again, ran out.
--- a/test/rules-met.test.ts
+++ b/packages/lab/test/rules-met.test.ts
@@ -1,6 +1,6 @@
 /** What the operators met later: slow, silent, half reachable, or wrong. */
-import { everything, playDays } from './world/days.js';
-import type { Troubles } from './world/world.js';
+import { everything, playDays } from './days.js';
+import type { Troubles } from '../src/world/world.js';
 
 const met: Troubles = {
   freeze: true,
--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -1,7 +1,8 @@
-// Bundles the service (and with --tests the tests) into target/. One file starts faster than a tree of
-// modules, and start-up is charged against a fraction of a core.
+// Bundles the service (with --tests the tests, with --tool FILE one tool) into target/. One file starts faster than a
+// tree of modules, and start-up is charged against a fraction of a core.
 import { build } from 'esbuild';
 import { readdirSync, readFileSync } from 'node:fs';
+import { basename } from 'node:path';
 
 const common = {
   bundle: true,
@@ -14,15 +15,31 @@
   },
   logLevel: 'warning',
 };
+const tool = process.argv.indexOf('--tool');
 if (process.argv.includes('--tests')) {
-  const tests = readdirSync('test').filter((f) => f.endsWith('.test.ts'));
+  const tests = readdirSync('packages').flatMap((p) =>
+    readdirSync(`packages/${p}`).includes('test')
+      ? readdirSync(`packages/${p}/test`)
+          .filter((f) => f.endsWith('.test.ts'))
+          .map((f) => `packages/${p}/test/${f}`)
+      : [],
+  );
   await build({
     ...common,
-    entryPoints: tests.map((f) => `test/${f}`),
+    entryPoints: tests,
+    outbase: 'packages',
     outdir: 'target/test',
     sourcemap: 'inline',
     outExtension: { '.js': '.cjs' },
   });
+} else if (tool > 0) {
+  const file = process.argv[tool + 1];
+  await build({ ...common, entryPoints: [file], outfile: `target/${basename(file, '.ts')}.cjs` });
 } else {
-  await build({ ...common, entryPoints: ['src/main.ts'], outfile: 'target/main.cjs', minifySyntax: true });
+  await build({
+    ...common,
+    entryPoints: ['packages/controller/src/main.ts'],
+    outfile: 'target/main.cjs',
+    minifySyntax: true,
+  });
 }
