Build finds workspaces by path, whatever node_modules holds

Cause: a copy of the repository whose node_modules was older than the workspaces did not build. Change: esbuild resolves the packages by path. Measured: builds with the links taken away, the same bundle.

--- a/tools/build.mjs
+++ b/tools/build.mjs
@@ -10,6 +10,11 @@
   target: 'node20',
   format: 'cjs',
   external: ['msgpackr-extract'],
+  // By path, so that a build needs no links between workspaces in node_modules.
+  alias: {
+    '@lilacvalve/controller/support': './packages/controller/test/support',
+    ...Object.fromEntries(readdirSync('packages').map((p) => [`@lilacvalve/${p}`, `./packages/${p}/src`])),
+  },
   define: {
     'process.env.LILACVALVE_VERSION': JSON.stringify(JSON.parse(readFileSync('package.json')).version),
   },
