--- a/packages/controller/src/api/handlers.ts
+++ b/packages/controller/src/api/handlers.ts
@@ -9,15 +9,26 @@
 import { tally } from '../tally.js';
 import type { Micros } from '@lilacvalve/base/micros';
 import type { MachineType } from '../fleet/model.js';
+import type { Doubt } from '../doubt/doubt.js';
 import type { JobCache } from '../jobs/cache.js';
-import { decodeFinal, encodeJob, JOB_ID, readSubmission, STATUS_WORDS } from '../jobs/codec.js';
+import {
+  decodeFinal,
+  decodeOver,
+  encodeFinal,
+  encodeJob,
+  JOB_ID,
+  readSubmission,
+  STATUS_WORDS,
+  type Ward,
+} from '../jobs/codec.js';
 import type { Feed } from '../jobs/feed.js';
-import { activeKey, finalKey } from '../jobs/keys.js';
+import { activeKey, afterOver, finalKey, OVER, wardKey } from '../jobs/keys.js';
 import { type FinalState, isComplete, type Job, type JobSpec } from '../jobs/model.js';
 import type { Work } from '../overload/model.js';
+import type { Fact, Witness } from '../rebuild/witness.js';
 import type { Settings } from '../settings/settings.js';
 import { Priority } from '../state-store/budget.js';
-import type { StateFailure } from '../state-store/client.js';
+import { Refused, type StateFailure, type Write } from '../state-store/client.js';
 import { REPORTS } from '../workers/codec.js';
 import type { StatePort } from '../state-store/port.js';
 
@@ -26,6 +37,13 @@
   readonly store: StatePort;
   readonly feed: Feed;
   readonly cache: JobCache;
+  readonly doubt: Doubt;
+  /** Whether a job that this node does not know may be new: not while what others remember is being gathered. */
+  readonly mayBeNew: (id: string) => boolean;
+  /** Tells the other controllers what a user is about to be told; see rebuild/witness.ts. */
+  readonly witness: Witness;
+  /** This node's view has been held against a peer's since it was read. */
+  readonly verified: () => boolean;
   readonly types: () => readonly MachineType[] | null;
   readonly ready: () => boolean;
   readonly clock: () => Micros;
@@ -84,8 +102,23 @@
       Effect.as(retryLater('state unavailable')),
     );
 
-  /** The job as of now: over, active, or never accepted. */
-  type Found = { readonly final: FinalState } | { readonly job: Job } | null;
+  /** What the store says can be believed, and it has been read. */
+  const open = (): boolean => d.feed.loaded && !d.doubt.active && d.doubt.incarnation !== null;
+  const unsure = new Refused({ status: 503, reason: 'not certain of this job yet' });
+
+  /** A rebuilt final state that this node does not hold in memory. */
+  const rebuilt = (id: string): Effect.Effect<FinalState | null, StateFailure> =>
+    Effect.gen(function* () {
+      if (d.cache.finals.complete) return null;
+      for (const part of d.cache.overParts) {
+        const page = yield* d.store.page(`${OVER}${part}/`, afterOver(part, id), 1);
+        for (const e of page.entries) for (const [over, f] of decodeOver(e.value)) if (over === id) return f;
+      }
+      return null;
+    });
+
+  /** The job as of now: over, active, named by workers only, or never accepted. */
+  type Found = { readonly final: FinalState } | { readonly job: Job } | { readonly ward: Ward } | null;
   const lookUp = (id: string): Effect.Effect<Found, StateFailure> =>
     Effect.gen(function* () {
       const over = d.cache.finals.get(id);
@@ -94,19 +127,57 @@
       const known = d.cache.finals.get(id);
       if (known) return { final: known };
       const job = d.cache.jobs.get(id);
+      if (!d.verified() || (job && !d.cache.current(id))) return yield* Effect.fail(unsure);
       if (job) return { job };
-      const entry = yield* d.store.get(finalKey(id));
-      if (entry === null) return null;
-      const final = decodeFinal(entry.value);
-      d.cache.rememberFinal(id, final);
-      return { final };
+      const { entry } = yield* d.store.get(finalKey(id));
+      const final = entry === null ? yield* rebuilt(id) : decodeFinal(entry.value);
+      if (final !== null) {
+        d.cache.finals.remember(id, final);
+        return { final };
+      }
+      const ward = d.cache.wards.get(id);
+      if (ward) return { ward };
+      // Never accepted, as far as the store says: that is said only once nobody could know better.
+      if (!d.cache.settled || d.cache.damaged.has(activeKey(id))) return yield* Effect.fail(unsure);
+      return null;
     });
   const say = (id: string, f: Found): Answer =>
     f === null
       ? json(404, { error: 'no such job' })
       : 'final' in f
         ? finalAnswer(id, f.final)
-        : activeAnswer(f.job);
+        : 'ward' in f
+          ? json(200, { id, status: STATUS_WORDS.running, done: 0, running: f.ward.tasks })
+          : activeAnswer(f.job);
+
+  /** Tells the others first. */
+  const telling = (
+    id: string,
+    revision: number,
+    value: Fact['value'],
+    answer: Answer,
+  ): Effect.Effect<Answer> => {
+    const i = d.doubt.incarnation;
+    return i === null
+      ? Effect.succeed(answer)
+      : Effect.as(
+          d.witness.tell({ id, revision, generation: i.generation, incarnation: i.id, value }),
+          answer,
+        );
+  };
+  /** `done` may have come to this node before it comes to the others. */
+  const sayFound = (id: string, f: Found): Effect.Effect<Answer> => {
+    const at = d.cache.ended.get(id);
+    const answer = say(id, f);
+    if (at === undefined || f === null || 'ward' in f) return Effect.succeed(answer);
+    const final: FinalState | null =
+      'final' in f
+        ? f.final
+        : !f.job.withdrawn && isComplete(f.job)
+          ? { status: 'done', tasks: f.job.spec.tasks }
+          : null;
+    return final === null ? Effect.succeed(answer) : telling(id, at, { final }, answer);
+  };
 
   const submit = (request: Incoming): Effect.Effect<Answer> =>
     Effect.gen(function* () {
@@ -124,8 +195,8 @@
       if (typeof id !== 'string' || !JOB_ID.test(id))
         return json(400, { error: 'id: not in the stated form' });
       // A job that is known gets its state, whatever its body says now.
-      if (!d.feed.loaded) return retryLater('starting');
-      if (d.cache.finals.has(id) || d.cache.jobs.has(id)) return say(id, yield* lookUp(id));
+      if (!open()) return retryLater(d.doubt.active ? unsure.reason : 'starting');
+      if (d.cache.finals.has(id) || d.cache.jobs.has(id)) return yield* sayFound(id, yield* lookUp(id));
       const read = readSubmission(body, d.dayTime());
       const types = d.types();
       const never = Either.isLeft(read)
@@ -135,10 +206,13 @@
           : impossible(read.right, d.settings, types);
       if (Either.isLeft(read) || never !== null) {
         const found = yield* lookUp(id);
-        if (found !== null) return say(id, found);
+        if (found !== null) return yield* sayFound(id, found);
         return Either.isLeft(read) ? json(400, { error: read.left }) : json(422, { error: never });
       }
       if (types === null) return retryLater('machine types unknown');
+      if (!d.mayBeNew(id) || d.cache.damaged.has(activeKey(id))) return retryLater(unsure.reason);
+      if (!d.cache.finals.complete && d.cache.overParts.size > 0 && (yield* rebuilt(id)) !== null)
+        return yield* sayFound(id, yield* lookUp(id));
       const job: Job = {
         spec: read.right,
         withdrawn: false,
@@ -161,14 +235,20 @@
               { key: activeKey(id), stamp: 0 },
               { key: finalKey(id), stamp: 0 },
             ],
-            [{ set: activeKey(id), value }],
+            [{ set: activeKey(id), value }, ...adopting(id)],
             Priority.Commit,
             1200,
           ),
         );
         if (r._tag === 'Right') {
-          if (r.right.ok) return json(201, { id, status: STATUS_WORDS.queued });
-          return say(id, yield* lookUp(id));
+          if (r.right.ok)
+            return yield* telling(
+              id,
+              r.right.revision,
+              { stored: value },
+              json(201, { id, status: STATUS_WORDS.queued }),
+            );
+          return yield* sayFound(id, yield* lookUp(id));
         }
         // Refused or unanswered: the conditions make another try safe either way.
         if (d.clock() - began > GIVE_UP || (r.left._tag === 'Refused' && r.left.status === 503))
@@ -177,34 +257,60 @@
       }
     }).pipe(Effect.catchAll(unavailable));
 
+  /** What workers run of it already becomes the submitted job's. */
+  const adopting = (id: string): Write[] => (d.cache.wards.has(id) ? [{ delete: wardKey(id) }] : []);
+
   const poll = (id: string): Effect.Effect<Answer> =>
-    d.feed.loaded || d.cache.finals.has(id)
+    open() || d.cache.finals.has(id)
       ? lookUp(id).pipe(
-          Effect.map((f) => say(id, f)),
+          Effect.flatMap((f) => sayFound(id, f)),
           Effect.catchAll(unavailable),
         )
-      : Effect.succeed(retryLater('starting'));
+      : Effect.succeed(retryLater(d.doubt.active ? unsure.reason : 'starting'));
 
   const withdraw = (id: string): Effect.Effect<Answer> =>
     Effect.gen(function* () {
-      if (!d.feed.loaded) return retryLater('starting');
+      if (!open()) return retryLater(d.doubt.active ? unsure.reason : 'starting');
       const began = d.clock();
       for (;;) {
         const found = yield* lookUp(id);
-        if (found === null || 'final' in found || found.job.withdrawn || isComplete(found.job))
-          return say(id, found);
-        const { job } = found;
+        if (found === null || 'final' in found) return yield* sayFound(id, found);
+        if ('job' in found && (found.job.withdrawn || isComplete(found.job)))
+          return yield* sayFound(id, found);
         const r = yield* Effect.either(
-          d.store.transact(
-            [{ key: activeKey(id), stamp: job.stamp }],
-            // What the key includes stays what it included: later records still apply on top.
-            [{ set: activeKey(id), value: encodeJob({ ...job, withdrawn: true }, job.touched) }],
-            Priority.Commit,
-            1200,
-          ),
+          'ward' in found
+            ? d.store.transact(
+                [
+                  { key: activeKey(id), stamp: 0 },
+                  { key: finalKey(id), stamp: 0 },
+                ],
+                [
+                  { set: finalKey(id), value: encodeFinal({ status: 'cancelled', tasks: found.ward.tasks }) },
+                  ...adopting(id),
+                ],
+                Priority.Commit,
+                1200,
+              )
+            : d.store.transact(
+                [{ key: activeKey(id), stamp: found.job.stamp }],
+                // What the key includes stays what it included: later records still apply on top.
+                [
+                  {
+                    set: activeKey(id),
+                    value: encodeJob({ ...found.job, withdrawn: true }, found.job.touched),
+                  },
+                ],
+                Priority.Commit,
+                1200,
+              ),
         );
         // A record may have completed the job in between: whichever was committed first holds (jobs/cache.ts).
-        if (r._tag === 'Right' && r.right.ok) return say(id, yield* lookUp(id));
+        if (r._tag === 'Right' && r.right.ok) {
+          const now = yield* lookUp(id);
+          if (now === null || !('job' in now) || !now.job.withdrawn) return yield* sayFound(id, now);
+          const stored = encodeJob(now.job, now.job.touched);
+          return yield* telling(id, r.right.revision, { stored }, say(id, now));
+        }
         if (d.clock() - began > GIVE_UP) return retryLater('busy');
         if (r._tag === 'Left' && r.left._tag === 'Refused' && r.left.status === 503)
           return yield* unavailable(r.left);
--- /dev/null
+++ b/packages/controller/src/doors.ts
@@ -0,0 +1,115 @@
+/** The node's three doors: users, workers, and the other controllers. Each is answered by the slice it belongs to. */
+import { type Answer, type Incoming, json, type Quick, retryLater } from '@lilacvalve/base/http-server';
+import { type Micros, seconds } from '@lilacvalve/base/micros';
+import { Effect } from 'effect';
+import { type ApiDeps, route, userHandlers, workOf } from './api/handlers.js';
+import type { Contacts } from './leadership/contacts.js';
+import type { Leadership } from './leadership/leadership.js';
+import { peerHandler, type Peers } from './leadership/peers.js';
+import type { Admission } from './overload/admission.js';
+import type { Sessions } from './reign/session.js';
+import type { Peer, Settings } from './settings/settings.js';
+import { tally } from './tally.js';
+import { REPORTS, type Receive } from './workers/codec.js';
+import { reportHandler } from './workers/duty.js';
+import { Places } from './workers/places.js';
+import { Relay, relayHandler, type RelayPort } from './workers/relay.js';
+
+/** No leader is known, or it does not answer: the worker tries the next node. */
+const leaderless = retryLater('no leader');
+/** In its first seconds a leader answers all who come: being sent on would cost them time twice. */
+const NEW_LEADER = seconds(10);
+
+/** Users: work is taken on as far as the node keeps up with it. */
+export const userDoor = (deps: ApiDeps, admission: Admission, unready: () => string | null) => {
+  const answer = route(userHandlers(deps), unready);
+  return (r: Incoming): Effect.Effect<Answer> => {
+    const work = workOf(r);
+    if (work === null) return answer(r);
+    const refusal = admission.enter(work);
+    if (refusal !== null) return Effect.succeed(refusal);
+    return Effect.ensuring(
+      answer(r),
+      Effect.sync(() => admission.leave(work)),
+    );
+  };
+};
+
+export interface WorkerDoorParts {
+  readonly settings: Settings;
+  readonly leadership: Leadership;
+  readonly sessions: Sessions;
+  readonly peers: Peers;
+  readonly contacts: Contacts;
+  readonly admission: Admission;
+  readonly relay: RelayPort;
+  readonly receive: Receive;
+  readonly clock: () => Micros;
+}
+
+/** Workers: reports are answered here, passed to the leader, or sent to a better node. */
+export const workerDoor = (
+  p: WorkerDoorParts,
+): { readonly quick: Quick; readonly run: Effect.Effect<never> } => {
+  const { settings, peers, leadership, admission, clock } = p;
+  const places = new Places(settings.label, [settings.label, ...settings.peers.map((x) => x.label)].sort());
+  const leader = (): Peer | null => {
+    const label = leadership.known();
+    const peer = settings.peers.find((x) => x.label === label);
+    return peer !== undefined && peers.reaches(peer.label) ? peer : null;
+  };
+  const relay = new Relay(p.relay, leader, (label) => peers.heard(label), clock);
+  const reports = reportHandler(
+    p.receive,
+    () => p.sessions.desk !== null && leadership.answering() !== null,
+    (report, reply) => (leader() === null ? reply(leaderless) : relay.pass(report, reply)),
+    (machine) => {
+      const reign = leadership.acting();
+      const at = clock();
+      if (reign !== null && at - reign.began < NEW_LEADER) return null;
+      const leads = reign !== null ? settings.label : (leader()?.label ?? null);
+      return places.elsewhere(machine, leads, (n) => peers.reaches(n), at);
+    },
+    (machine) => p.contacts.note(machine, clock()),
+  );
+  const quick: Quick = (r, reply) => {
+    if (r.path !== REPORTS || r.method !== 'POST') return false;
+    const refusal = admission.enter('report');
+    if (refusal !== null) {
+      reply(refusal);
+      return true;
+    }
+    let inside = true;
+    const leave = (): void => {
+      if (inside) admission.leave('report');
+      inside = false;
+    };
+    try {
+      return reports(r, (a) => {
+        leave();
+        reply(a);
+      });
+    } catch (e) {
+      leave();
+      throw e;
+    }
+  };
+  return { quick, run: relay.run };
+};
+
+/** Other controllers: beats, reports that they pass on, and what a rebuild asks. */
+export const peerDoor = (peers: Peers, receive: Receive, views: (r: Incoming) => Answer | null) => {
+  const beats = peerHandler(() => peers);
+  const relayed = relayHandler(receive);
+  return {
+    quick: ((r, reply) => (r.method === 'POST' && r.path === '/relay' ? relayed(r, reply) : false)) as Quick,
+    handle: (r: Incoming): Effect.Effect<Answer> => {
+      if (r.method !== 'POST') return Effect.succeed(json(405, {}, { Allow: 'POST' }));
+      if (r.path === '/beat') {
+        tally('beats');
+        return beats(r);
+      }
+      return Effect.sync(() => views(r) ?? json(404, {}));
+    },
+  };
+};
--- /dev/null
+++ b/packages/controller/src/doubt/audit.ts
@@ -0,0 +1,52 @@
+/**
+ * Looks for keys that went without a change to tell of it: part of the store's listing is held against the view that
+ * the watch feeds. A key counts as lost only if the view is at least as new as the listing and still has it.
+ */
+import type { JobCache } from '../jobs/cache.js';
+import { ACTIVE, INCARNATION, LEADER, LIFE, PACK, RECORD, recordKey, TERM } from '../jobs/keys.js';
+import type { Page } from '../state-store/client.js';
+
+/** The prefixes that are looked through, one after the other. */
+export const AUDITED = [RECORD, ACTIVE, PACK, TERM, LEADER, LIFE] as const;
+
+/** Keys that the view has below `prefix`, with the revisions it knows them at. Sorted. */
+export const keysOf = (cache: JobCache, prefix: (typeof AUDITED)[number]): [string, number][] => {
+  const out: [string, number][] = [];
+  if (prefix === ACTIVE) {
+    // A job of stamp 0 has no key of its own yet.
+    for (const [id, job] of cache.jobs) if (job.stamp > 0) out.push([ACTIVE + id, job.stamp]);
+  } else if (prefix === TERM) {
+    if (cache.term > 0) out.push([TERM, cache.termStamp]);
+  } else if (prefix === LEADER) {
+    if (cache.leader !== null) out.push([LEADER, cache.leaderStamp]);
+  } else if (prefix === LIFE) {
+    for (const i of cache.incarnations.values()) out.push([INCARNATION + i.id, i.stamp]);
+  } else if (prefix === PACK) for (const [key, p] of cache.packs) out.push([key, p.stamp]);
+  else for (const [seq, r] of cache.tail) out.push([recordKey(seq), r.stamp]);
+  return out.sort((a, b) => (a[0] < b[0] ? -1 : 1));
+};
+
+/**
+ * The first key lost, or null. `expected`: what the view has in the range that the page covers, read when `view` (its
+ * revision) was at least the page's. `after`: where the page began.
+ */
+export const audit = (
+  page: Page,
+  expected: readonly (readonly [string, number])[],
+  after: string | null,
+  view: number,
+): string | null => {
+  if (view < page.revision) return null;
+  const there = new Map(page.entries.map((e) => [e.key, e.stamp]));
+  const last = page.more ? page.entries[page.entries.length - 1]?.key : undefined;
+  for (const [key, stamp] of expected) {
+    if (after !== null && key <= after) continue;
+    if (last !== undefined && key > last) break;
+    // Written after the page was read: it can't be on it.
+    if (stamp > page.revision) continue;
+    const found = there.get(key);
+    if (found === undefined) return `${key} is missing`;
+    if (found < stamp) return `${key} is as of ${found}, was of ${stamp}`;
+  }
+  return null;
+};
--- /dev/null
+++ b/packages/controller/src/doubt/duty.ts
@@ -0,0 +1,186 @@
+/**
+ * Looks at a doubted store until it is certain what became of it, and looks for lost keys while nothing is doubted. What
+ * follows from a loss (a new incarnation, and its rebuild) is the leadership's and the rebuild's.
+ */
+import { duty } from '@lilacvalve/base/duty';
+import { info } from '@lilacvalve/base/log';
+import type { Micros } from '@lilacvalve/base/micros';
+import { Effect, Option, Queue, Random } from 'effect';
+import { JobCache } from '../jobs/cache.js';
+import type { Feed } from '../jobs/feed.js';
+import { INCARNATION, LIFE, ROOT, TERM, LEADER, RECORD, ACTIVE, PACK, TYPES } from '../jobs/keys.js';
+import { contentOf } from '../rebuild/merge.js';
+import type { Entry, StateFailure } from '../state-store/client.js';
+import type { StatePort } from '../state-store/port.js';
+import { audit, AUDITED, keysOf } from './audit.js';
+import { CERTAIN_AFTER, type Doubt } from './doubt.js';
+import { judge } from './judge.js';
+import type { Incarnation, Probe } from './model.js';
+
+const LOOK_EVERY_MS = 250;
+/** Looks in a row that must agree on a loss. The last leader goes first: its view is the whole one. */
+const NEED = { leader: 6, follower: 9 };
+const LOOKS_KEPT = 40;
+/** Between two pages of the search for lost keys, by the leader. */
+const AUDIT_EVERY_MS = 4000;
+const AUDIT_PAGE = 120;
+
+export interface DoubtParts {
+  readonly doubt: Doubt;
+  readonly raw: StatePort;
+  readonly store: StatePort;
+  readonly feed: Feed;
+  readonly cache: JobCache;
+  /** See `Leadership.refound`. */
+  readonly refound: Effect.Effect<boolean, StateFailure>;
+  /** Takes up another incarnation that is there already. */
+  readonly leaveView: () => void;
+  readonly leads: () => boolean;
+  readonly clock: () => Micros;
+}
+
+const look = (raw: StatePort): Effect.Effect<Probe, StateFailure> =>
+  Effect.map(Effect.all([raw.page(LIFE, null, 1000), raw.page(TERM, null, 1)]), ([life, term]) => ({
+    incarnations: life.entries
+      .filter((e) => e.key.startsWith(INCARNATION))
+      .map((e): Incarnation => ({
+        id: e.key.slice(INCARNATION.length),
+        generation: (e.value as { g?: number } | null)?.g ?? 0,
+        stamp: e.stamp,
+      })),
+    revision: Math.min(life.revision, term.revision),
+    term: (term.entries[0]?.value as { term?: number } | undefined)?.term ?? 0,
+  }));
+
+/** Everything that a view has, in one word a key: what two views of one revision must agree on. */
+const outline = (c: JobCache): Map<string, string> => {
+  const out = new Map<string, string>();
+  for (const [id, j] of c.jobs) out.set(`job ${id}`, `${j.stamp} ${contentOf(j)}`);
+  for (const [seq, r] of c.tail) out.set(`record ${seq}`, String(r.stamp));
+  for (const [key, p] of c.packs) out.set(`pack ${key}`, String(p.stamp));
+  for (const key of c.damaged.keys()) out.set(`damaged ${key}`, '');
+  out.set('term', `${c.term} ${c.termStamp}`);
+  out.set('leader', JSON.stringify(c.leader));
+  return out;
+};
+
+/** The first difference between the view and a fresh reading of all that it is made of; null: there is none. */
+const compare = (p: DoubtParts): Effect.Effect<string | null, StateFailure> =>
+  Effect.gen(function* () {
+    const entries: Entry[] = [];
+    let base = Number.POSITIVE_INFINITY;
+    for (const prefix of [LIFE, RECORD, PACK, ACTIVE, LEADER, TERM, TYPES]) {
+      let after: string | null = null;
+      for (let more = true; more;) {
+        const page: { entries: readonly Entry[]; more: boolean; revision: number } = yield* p.raw.page(
+          prefix,
+          after,
+          1000,
+        );
+        base = Math.min(base, page.revision);
+        entries.push(...page.entries);
+        after = page.entries[page.entries.length - 1]?.key ?? after;
+        more = page.more && page.entries.length > 0;
+      }
+    }
+    const fresh = new JobCache();
+    fresh.load(entries, base);
+    for (let i = 0; i < 10; i++) {
+      for (const c of [p.cache, fresh]) {
+        const changes = yield* p.raw.follow(ROOT, c.revision, 0);
+        if (changes.tooOld) return 'the view is too old to follow';
+        if (changes.revision < c.revision) return `revision ${changes.revision} after ${c.revision}`;
+        c.advance(changes.changes, changes.revision);
+      }
+      if (p.cache.revision === fresh.revision) break;
+    }
+    const mine = outline(p.cache);
+    const there = outline(fresh);
+    for (const [key, v] of mine)
+      if (there.get(key) !== v) return `${key}: ${there.get(key) ?? 'missing'}, was ${v}`.slice(0, 200);
+    for (const key of there.keys()) if (!mine.has(key)) return `${key}: not known`;
+    return null;
+  });
+
+/** Ends a doubt, in whatever way the evidence calls for. */
+export const doubtDuty = (p: DoubtParts): Effect.Effect<never> => {
+  const begun = Effect.runSync(Queue.sliding<void>(1));
+  p.doubt.onRaise = () => Queue.unsafeOffer(begun, undefined);
+  return duty(
+    'doubt',
+    Effect.gen(function* () {
+      yield* Queue.take(begun);
+      const first = p.doubt.standing?.evidence[0];
+      if (first) yield* info('store doubted', { evidence: first.kind, what: first.what });
+      let looks: Probe[] = [];
+      let failed = 0;
+      while (p.doubt.standing !== null) {
+        const { led, since } = p.doubt.standing;
+        const certain = p.clock() - since >= CERTAIN_AFTER;
+        const seen = yield* Effect.option(look(p.raw));
+        if (seen._tag === 'Some') {
+          looks = [...looks.slice(-LOOKS_KEPT), seen.value];
+          const verdict = judge(p.doubt.known(), looks, led === null ? NEED.follower : NEED.leader);
+          if (verdict === 'moved') {
+            yield* info('store was rebuilt', { known: p.doubt.incarnation?.id ?? 'none' });
+            p.leaveView();
+          } else if (verdict === 'restored') {
+            const differs = p.doubt.standing.proven
+              ? Option.some(first?.what ?? 'a peer knows more')
+              : yield* Effect.option(compare(p));
+            if (differs._tag === 'Some' && differs.value === null) {
+              p.doubt.over();
+              yield* info('doubt over', { looks: looks.length });
+            } else if (differs._tag === 'Some') {
+              failed++;
+              if (failed === 1) yield* info('store has lost data', { what: differs.value! });
+              // Two copies that answer in turn differ too, and then a look goes back again.
+              if (failed >= 2 && certain && steady(looks)) yield* lost(p);
+            }
+          } else if (verdict === 'lost' && certain) {
+            yield* info('store has lost data', { looks: looks.length, revision: seen.value.revision });
+            yield* lost(p);
+          }
+        }
+        yield* Effect.sleep(LOOK_EVERY_MS + 100 * (yield* Random.next));
+      }
+    }).pipe(Effect.forever),
+  );
+};
+
+const steady = (looks: readonly Probe[]): boolean =>
+  looks.slice(-NEED.leader).every((l, i, all) => i === 0 || l.revision >= all[i - 1]!.revision) &&
+  looks.length >= NEED.leader;
+
+const lost = (p: DoubtParts): Effect.Effect<void> => Effect.ignore(p.refound);
+
+/** The leader looks through the store's listing, a page at a time, for keys that are gone without a trace. */
+export const auditDuty = (p: DoubtParts): Effect.Effect<never> => {
+  let prefix = 0;
+  let after: string | null = null;
+  return duty(
+    'audit',
+    Effect.sleep(AUDIT_EVERY_MS).pipe(
+      Effect.zipRight(
+        Effect.suspend(() =>
+          p.leads() && p.feed.loaded && !p.doubt.active
+            ? Effect.gen(function* () {
+                const under = AUDITED[prefix]!;
+                const page = yield* p.store.page(under, after, AUDIT_PAGE);
+                yield* p.feed.refresh;
+                const lostKey = audit(page, keysOf(p.cache, under), after, p.cache.revision);
+                if (lostKey !== null) p.doubt.raise('key lost', lostKey);
+                const last = page.entries[page.entries.length - 1];
+                if (page.more && last) after = last.key;
+                else {
+                  after = null;
+                  prefix = (prefix + 1) % AUDITED.length;
+                }
+              }).pipe(Effect.ignore)
+            : Effect.void,
+        ),
+      ),
+      Effect.forever,
+    ),
+  );
+};
--- /dev/null
+++ b/packages/controller/src/doubt/guard.ts
@@ -0,0 +1,129 @@
+/**
+ * The state service as the rest of the node sees it: every transaction carries the incarnation's condition, every
+ * answer is held against what was known when it was asked for, and while the store is doubted nothing is asked of it.
+ * Leases are not: keeping one costs nothing if the store turns out to be sound.
+ */
+import { NoAnswer } from '@lilacvalve/base/http-client';
+import type { Micros } from '@lilacvalve/base/micros';
+import { Effect } from 'effect';
+import type { Priority } from '../state-store/budget.js';
+import {
+  type Changes,
+  type Condition,
+  type Found,
+  type Outcome,
+  type Page,
+  Refused,
+  type StateFailure,
+  type Write,
+} from '../state-store/client.js';
+import type { StatePort } from '../state-store/port.js';
+import type { Doubt } from './doubt.js';
+
+const doubted = new Refused({ status: 503, reason: 'the state service is doubted' });
+
+export class GuardedStore implements StatePort {
+  constructor(
+    private readonly raw: StatePort,
+    private readonly doubt: Doubt,
+    private readonly clock: () => Micros,
+  ) {}
+
+  get lastServed(): number {
+    return this.raw.lastServed;
+  }
+  get lastRefused(): number {
+    return this.raw.lastRefused;
+  }
+
+  transact(
+    when: readonly Condition[],
+    then: readonly Write[],
+    priority: Priority,
+    timeoutMs: number,
+  ): Effect.Effect<Outcome, StateFailure> {
+    return Effect.suspend(() => {
+      const fence = this.doubt.fence();
+      if (this.doubt.active || fence === null) return Effect.fail(doubted);
+      const floor = this.doubt.floor();
+      const { life } = this.doubt;
+      const asked = this.clock();
+      return this.raw.transact([...when, fence], then, priority, timeoutMs).pipe(
+        Effect.flatMap((o): Effect.Effect<Outcome, StateFailure> => {
+          if (this.doubt.life !== life) return Effect.fail(new NoAnswer({ reason: doubted.reason }));
+          const sound = this.doubt.answered(
+            o.revision,
+            o.ok && then.some((w) => 'set' in w) ? floor + 1 : floor,
+          );
+          if (!o.ok && o.failed.includes(fence.key))
+            this.doubt.raise('other incarnation', `${fence.key} refused`);
+          // Not done is certain whatever became of the store; done is not, in one that has lost data.
+          if (o.ok && sound) this.doubt.seen(asked);
+          if (sound && !this.doubt.active) return Effect.succeed(o);
+          return o.ok ? Effect.fail(new NoAnswer({ reason: doubted.reason })) : Effect.fail(doubted);
+        }),
+      );
+    });
+  }
+
+  get(key: string, timeoutMs?: number): Effect.Effect<Found, StateFailure> {
+    return this.read(
+      () => this.raw.get(key, timeoutMs),
+      (f) => f.revision,
+    );
+  }
+
+  page(
+    prefix: string,
+    after: string | null,
+    limit: number,
+    priority?: Priority,
+  ): Effect.Effect<Page, StateFailure> {
+    return this.read(
+      () => this.raw.page(prefix, after, limit, priority),
+      (p) => p.revision,
+    );
+  }
+
+  follow(prefix: string, after: number, blockMs: number): Effect.Effect<Changes, StateFailure> {
+    return this.read(
+      () => this.raw.follow(prefix, after, blockMs),
+      (c) => (c.tooOld ? null : c.revision),
+    );
+  }
+
+  grant(ttl: Micros): Effect.Effect<number, StateFailure> {
+    return this.raw.grant(ttl);
+  }
+  extend(lease: number, timeoutMs: number): Effect.Effect<boolean, StateFailure> {
+    return this.raw.extend(lease, timeoutMs);
+  }
+  release(lease: number): Effect.Effect<void, StateFailure> {
+    return this.raw.release(lease);
+  }
+  leading(yes: boolean): void {
+    this.raw.leading(yes);
+  }
+  writeWait(): Micros {
+    return this.raw.writeWait();
+  }
+
+  private read<A>(
+    ask: () => Effect.Effect<A, StateFailure>,
+    revisionOf: (a: A) => number | null,
+  ): Effect.Effect<A, StateFailure> {
+    return Effect.suspend(() => {
+      if (this.doubt.active) return Effect.fail(doubted);
+      const floor = this.doubt.floor();
+      const { life } = this.doubt;
+      return ask().pipe(
+        Effect.flatMap((a) => {
+          if (this.doubt.life !== life) return Effect.fail(doubted);
+          const revision = revisionOf(a);
+          if (revision !== null) this.doubt.answered(revision, floor);
+          return this.doubt.active ? Effect.fail(doubted) : Effect.succeed(a);
+        }),
+      );
+    });
+  }
+}
--- /dev/null
+++ b/packages/controller/src/doubt/model.ts
@@ -0,0 +1,57 @@
+/**
+ * The store's identity. An incarnation is one life of the store's data: it begins at the first start, or with a rebuild
+ * after a loss, and revisions, terms and attempts can be compared within it only. Its key is named after it and every
+ * transaction is conditional on that key, so that one from before a loss can never find its conditions true by accident.
+ */
+
+export interface Incarnation {
+  /** Random: no two have the same. */
+  readonly id: string;
+  /** 0 at the first start, one more with each rebuild. */
+  readonly generation: number;
+  /** Revision of its key. */
+  readonly stamp: number;
+}
+
+/** Terms and attempts of a generation begin above all of the generations before, whatever of those is still known. */
+const GENERATION = 2 ** 32;
+export const floorOf = (generation: number): number => generation * GENERATION;
+export const generationOf = (termOrAttempt: number): number => Math.floor(termOrAttempt / GENERATION);
+
+/** What this node knows of the store, from its own reads, its peers and workers. */
+export interface Known {
+  /** The one this node's view is of; null: it has none. */
+  readonly incarnation: Incarnation | null;
+  /** The highest generation that this node or a peer has seen; -1: none. */
+  readonly generation: number;
+  /** The highest revision that the incarnation has shown to anybody heard of. */
+  readonly revision: number;
+  /** The highest term that anybody has named. */
+  readonly term: number;
+}
+
+/** One short look at the store while it is doubted. */
+export interface Probe {
+  readonly incarnations: readonly Incarnation[];
+  /** The lowest revision that its reads said they were of. */
+  readonly revision: number;
+  readonly term: number;
+}
+
+/** What can't follow from what was known: why the store is doubted. */
+export type EvidenceKind =
+  /** An answer is as of an older revision than one seen before it was asked for. */
+  | 'revision went back'
+  /** The incarnation's key is gone, or another stands there. */
+  | 'other incarnation'
+  /** Somebody has named a higher term than the store's. */
+  | 'term went back'
+  /** A key is missing, or older than it was, and no change tells why. */
+  | 'key lost'
+  /** A value can't be read. */
+  | 'value damaged';
+
+export interface Evidence {
+  readonly kind: EvidenceKind;
+  readonly what: string;
+}
--- a/packages/controller/src/fleet/duty.ts
+++ b/packages/controller/src/fleet/duty.ts
@@ -48,6 +48,7 @@
     lastList = t.clock();
     const machines = yield* cloud.list();
     listedOnce = true;
+    t.fleet.listed = true;
     t.book.listing(machines, t.clock());
     for (const l of machines) rented.delete(l.id);
   });
@@ -229,8 +230,8 @@
     wanted = typesWanted(t.types(), demand);
     for (const w of plan.rent) {
       if (!t.acting()) return;
-      // A name is never used again: it carries the term, which only one node ever holds.
-      const name = `h-${t.reign.term}-${++hires}`;
+      // A name is never used again: it carries the term, which only one node ever holds, and the store's incarnation.
+      const name = `h-${t.doubt.incarnation?.id ?? ''}-${t.reign.term}-${++hires}`;
       const got = yield* cloud.hire(
         { name, type: w.type, zone: w.zone, spot: w.spot, count: Math.min(50, w.count) },
         t.acting,
--- a/packages/controller/src/jobs/cache.ts
+++ b/packages/controller/src/jobs/cache.ts
@@ -2,13 +2,37 @@
  * The watch-fed view of the store on every node: jobs that are not over, the tail of cycle records, the
  * term, the leader. Pure: changes go in, in revision order; nothing here talks to anybody.
  */
-import type { Change, Entry } from '../state-store/client.js';
-import { decodeFinal, decodeJob, decodeRecord } from './codec.js';
-import { ACTIVE, FINAL, LEADER, RECORD, TERM, TYPES } from './keys.js';
+import { floorOf, type Incarnation } from '../doubt/model.js';
+import type { Change, Condition, Entry, Write } from '../state-store/client.js';
+import {
+  decodeFinal,
+  decodeJob,
+  decodeOver,
+  decodePack,
+  decodeRecord,
+  encodePack,
+  type Ward,
+} from './codec.js';
+import { Finals } from './finals.js';
+import {
+  ACTIVE,
+  CALM,
+  FINAL,
+  INCARNATION,
+  LEADER,
+  OVER,
+  OVER_PART,
+  PACK,
+  REBUILD,
+  RECORD,
+  SETTLED,
+  TERM,
+  TYPES,
+  WARD,
+} from './keys.js';
 import {
   applyChange,
   type CycleRecord,
-  type FinalState,
   isComplete,
   type Job,
   type JobChange,
@@ -16,8 +40,7 @@
   taskKey,
 } from './model.js';
 
-/** Final states kept in memory; older ones are read from the store. */
-const FINALS_KEPT = 3000;
+const ENDS_KEPT = 1000;
 
 export interface LeaderEntry {
   readonly node: string;
@@ -25,38 +48,115 @@
   readonly lease: number;
 }
 
+/** From a loss until every controller's view is durable again. */
+export interface Rebuilding {
+  /** `gather`: views are being asked for. `write`: they are being written. `wait`: some have not been heard. */
+  readonly phase: 'gather' | 'write' | 'wait';
+  /** Controllers whose views are durable, or that have none. */
+  readonly heard: readonly string[];
+  readonly stamp: number;
+}
+
 export class JobCache {
   revision = -1;
   readonly jobs = new Map<string, Job>();
-  readonly finals = new Map<string, FinalState>();
+  readonly finals = new Finals();
   readonly tail = new Map<number, CycleRecord>();
   /** Placements by machine: key `job/task`. */
   readonly byMachine = new Map<string, Map<string, Placement & { readonly job: Job }>>();
   lastSeq = 0;
   leader: LeaderEntry | null = null;
+  leaderStamp = 0;
   term = 0;
   termStamp = 0;
   /** Bumped when a job appears, is withdrawn or is over: the leader's cue to run a cycle. */
   version = 0;
   /** The machine types as last written by a leader: a node that restarts while the cloud is down knows them. */
   types: unknown = null;
+  /** Attempts up to this one are of generations before: they may be running, and are never started again. */
+  floor = 0;
+  /** The store's incarnations by id: one, but for a moment. */
+  readonly incarnations = new Map<string, Incarnation>();
+  /** How far a rebuild has come; null: there is none. */
+  rebuild: Rebuilding | null = null;
+  /** Ids of the incarnations of which this has been said; see `CALM` and `SETTLED`. */
+  private calmOf: string | null = null;
+  private settledOf: string | null = null;
+  /** Packs of rebuilt jobs, and the pack that still lists a job. */
+  readonly packs = new Map<string, { readonly stamp: number; readonly ids: readonly string[] }>();
+  readonly packOf = new Map<string, string>();
+  /** Parts of the final states' pages; see `overKey`. */
+  readonly overParts = new Set<string>();
+  /** Jobs that only workers name. */
+  readonly wards = new Map<string, Ward & { readonly stamp: number }>();
+  /** Keys whose value can't be read, with their revisions. */
+  readonly damaged = new Map<string, number>();
+  /** Revisions at which jobs came to their end, the latest ones: whether others have read that already. */
+  readonly ended = new Map<string, number>();
   onJobs: () => void = () => undefined;
   /** The leader's key is gone. */
   onVacant: () => void = () => undefined;
 
   /** Starts again from a listing; changes after `revision` must follow before the view is used. */
   load(entries: readonly Entry[], revision: number): void {
-    this.jobs.clear();
-    this.tail.clear();
-    this.byMachine.clear();
-    this.leader = null;
-    this.lastSeq = 0;
-    for (const e of entries) if (e.key.startsWith(RECORD)) this.setRecord(e.key, e.value, e.stamp);
-    for (const e of entries) if (!e.key.startsWith(RECORD)) this.apply({ ...e });
+    this.clear();
+    const rank = (key: string): number => (key.startsWith(RECORD) ? 0 : key.startsWith(PACK) ? 1 : 2);
+    // Records first, since jobs include them; packs before the keys of their own that some jobs have by now.
+    for (const r of [0, 1, 2]) for (const e of entries) if (rank(e.key) === r) this.apply({ ...e });
     this.revision = revision;
     this.version++;
   }
 
+  /** Forgets all but final states: those hold in any incarnation. */
+  clear(): void {
+    for (const m of [this.jobs, this.tail, this.byMachine, this.incarnations, this.packs, this.packOf])
+      m.clear();
+    this.wards.clear();
+    this.overParts.clear();
+    this.damaged.clear();
+    this.ended.clear();
+    this.finals.complete = false;
+    this.floor = 0;
+    this.leader = null;
+    this.rebuild = null;
+    this.calmOf = null;
+    this.settledOf = null;
+    this.term = 0;
+    this.termStamp = 0;
+    this.lastSeq = 0;
+    this.revision = -1;
+  }
+
+  /** The store's incarnation; null: it has none yet. */
+  get incarnation(): Incarnation | null {
+    let last: Incarnation | null = null;
+    for (const i of this.incarnations.values()) if (last === null || i.generation > last.generation) last = i;
+    return last;
+  }
+
+  /** Nothing that is not in this view can be running any more from before a loss. */
+  get calm(): boolean {
+    const i = this.incarnation;
+    return i !== null && (i.generation === 0 || this.calmOf === i.id);
+  }
+
+  /** During a rebuild: whether this job's state is what has been written back; what the loss left may be older. */
+  current(id: string): boolean {
+    if (this.rebuild === null || this.rebuild.phase === 'wait') return true;
+    const born = this.incarnation?.stamp ?? 0;
+    const pack = this.packOf.get(id);
+    const stamp = Math.max(
+      this.jobs.get(id)?.stamp ?? 0,
+      pack === undefined ? 0 : this.packs.get(pack)!.stamp,
+    );
+    return this.rebuild.phase === 'write' && stamp > born;
+  }
+
+  /** What is not in the store was never accepted. */
+  get settled(): boolean {
+    return this.incarnation !== null && this.settledOf === this.incarnation.id;
+  }
+
   /** Changes of a watch answer; those already seen are passed over. */
   advance(changes: readonly Change[], revision: number): void {
     for (const c of changes) if (c.stamp > this.revision) this.apply(c);
@@ -64,41 +164,94 @@
   }
 
   apply(c: Change): void {
-    if (c.key.startsWith(ACTIVE)) {
-      const id = c.key.slice(ACTIVE.length);
-      if (c.value === undefined) this.drop(id);
-      else this.setJob(id, c.value, c.stamp);
-    } else if (c.key.startsWith(RECORD)) {
-      if (c.value === undefined) this.tail.delete(Number(c.key.slice(RECORD.length)));
-      else this.setRecord(c.key, c.value, c.stamp);
-    } else if (c.key.startsWith(FINAL)) {
-      if (c.value !== undefined) this.rememberFinal(c.key.slice(FINAL.length), decodeFinal(c.value));
-    } else if (c.key === LEADER) {
-      this.leader = c.value === undefined ? null : (c.value as LeaderEntry);
+    try {
+      this.take(c);
+      if (this.damaged.size > 0) this.damaged.delete(c.key);
+    } catch {
+      // What was known of it stays: it is newer than nothing.
+      this.damaged.set(c.key, c.stamp);
+    }
+  }
+
+  private take(c: Change): void {
+    const { key, value } = c;
+    if (key.startsWith(ACTIVE)) {
+      const id = key.slice(ACTIVE.length);
+      if (value === undefined) this.drop(id);
+      else this.setJob(id, decodeJob(id, value, c.stamp));
+    } else if (key.startsWith(RECORD)) {
+      if (value === undefined) this.tail.delete(Number(key.slice(RECORD.length)));
+      else this.setRecord(key, value, c.stamp);
+    } else if (key.startsWith(FINAL)) {
+      if (value !== undefined) this.finals.remember(key.slice(FINAL.length), decodeFinal(value));
+    } else if (key.startsWith(PACK)) this.setPack(key, value, c.stamp);
+    else if (key.startsWith(OVER)) {
+      if (value !== undefined) for (const [id, f] of decodeOver(value)) this.finals.remember(id, f);
+    } else if (key.startsWith(INCARNATION)) {
+      const id = key.slice(INCARNATION.length);
+      if (value === undefined) this.incarnations.delete(id);
+      else this.incarnations.set(id, { id, generation: (value as { g: number }).g, stamp: c.stamp });
+      this.floor = floorOf(this.incarnation?.generation ?? 0);
+    } else if (key.startsWith(OVER_PART)) this.overParts.add(key.slice(OVER_PART.length));
+    else if (key.startsWith(WARD)) {
+      const id = key.slice(WARD.length);
+      if (value === undefined) this.wards.delete(id);
+      else this.wards.set(id, { ...(value as Ward), stamp: c.stamp });
+    } else if (key === REBUILD)
+      this.rebuild = value === undefined ? null : { ...(value as Rebuilding), stamp: c.stamp };
+    else if (key === CALM) this.calmOf = value === undefined ? null : (value as string);
+    else if (key === SETTLED) this.settledOf = value === undefined ? null : (value as string);
+    else if (key === LEADER) {
+      this.leader = value === undefined ? null : (value as LeaderEntry);
+      this.leaderStamp = c.stamp;
       if (this.leader === null) this.onVacant();
-    } else if (c.key === TYPES) {
-      this.types = c.value ?? null;
-    } else if (c.key === TERM && c.value !== undefined) {
-      this.term = (c.value as { term: number }).term;
+    } else if (key === TYPES) {
+      this.types = value ?? null;
+    } else if (key === TERM && value !== undefined) {
+      this.term = (value as { term: number }).term;
       this.termStamp = c.stamp;
     }
   }
 
-  rememberFinal(id: string, f: FinalState): void {
-    this.finals.set(id, f);
-    if (this.finals.size > FINALS_KEPT) {
-      for (const old of this.finals.keys()) {
-        this.finals.delete(old);
-        break;
-      }
+  private setPack(key: string, value: unknown, stamp: number): void {
+    const jobs = value === undefined ? [] : decodePack(value);
+    const listed = new Set(jobs.map((j) => j.spec.id));
+    for (const id of this.packs.get(key)?.ids ?? []) {
+      if (listed.has(id) || this.packOf.get(id) !== key) continue;
+      this.packOf.delete(id);
+      // Taken out of its pack without a key of its own: it is over.
+      if (this.jobs.get(id)?.stamp === 0) this.drop(id);
     }
+    if (value === undefined) this.packs.delete(key);
+    else this.packs.set(key, { stamp, ids: [...listed] });
+    for (const job of jobs) {
+      this.packOf.set(job.spec.id, key);
+      // A job with a key of its own has gone on since.
+      if (!this.jobs.has(job.spec.id)) this.setJob(job.spec.id, job);
+    }
+  }
+
+  /** What takes these jobs out of the packs that still list them. */
+  unpacking(ids: readonly string[]): { readonly when: Condition[]; readonly then: Write[] } {
+    const when: Condition[] = [];
+    const then: Write[] = [];
+    const gone = new Set(ids);
+    for (const key of new Set(ids.flatMap((id) => this.packOf.get(id) ?? []))) {
+      const pack = this.packs.get(key)!;
+      when.push({ key, stamp: pack.stamp });
+      const rest = pack.ids.flatMap((id) => {
+        const job = this.jobs.get(id);
+        return job && !gone.has(id) && job.stamp === 0 ? [job] : [];
+      });
+      then.push(rest.length === 0 ? { delete: key } : { set: key, value: encodePack(rest) });
+    }
+    return { when, then };
   }
 
-  private setJob(id: string, value: unknown, stamp: number): void {
+  private setJob(id: string, job: Job): void {
     const old = this.jobs.get(id);
-    if (old && old.stamp >= stamp) return;
+    if (old && old.stamp >= job.stamp) return;
     if (old) this.unindex(old);
-    const job = decodeJob(id, value, stamp);
     // What the key does not include yet stands in the tail.
     for (const r of this.tail.values()) {
       if (r.seq <= job.folded) continue;
@@ -145,10 +298,20 @@
 
   private undergo(job: Job, change: JobChange, r: CycleRecord): void {
     applyChange(job, change, r.seq);
+    if (change.done !== undefined && isComplete(job)) this.noteEnd(job.spec.id, r.stamp);
     // It completed the job before the withdrawal in the job's key was committed: users may have been told `done`.
     if (job.withdrawn && r.stamp < job.stamp && isComplete(job)) job.withdrawn = false;
   }
 
+  private noteEnd(id: string, stamp: number): void {
+    this.ended.set(id, stamp);
+    if (this.ended.size <= ENDS_KEPT) return;
+    for (const old of this.ended.keys()) {
+      this.ended.delete(old);
+      break;
+    }
+  }
+
   private index(job: Job): void {
     for (const p of job.placed.values()) this.indexOne(job, p);
   }
--- a/packages/controller/src/jobs/codec.ts
+++ b/packages/controller/src/jobs/codec.ts
@@ -1,6 +1,7 @@
 /** Wire and durable forms of jobs. Wire names stay in this file. */
 import { Either, ParseResult, Schema } from 'effect';
 import { type Micros, seconds } from '@lilacvalve/base/micros';
+import { packFinal, unpackFinal } from './finals.js';
 import { decodeRanges, encodeRanges } from './ranges.js';
 import {
   type CycleRecord,
@@ -109,6 +110,20 @@
   /** Machines it failed on. */
   readonly x?: readonly string[];
 }
+const bits = (v: unknown, n: number): boolean =>
+  Array.isArray(v) && v.length === n && v.every((x) => Number.isFinite(x));
+/** What decoding relies on. A store that has lost data may also have damaged it. */
+const whole = (v: Stored | null): boolean =>
+  typeof v === 'object' &&
+  v !== null &&
+  typeof v.c === 'string' &&
+  typeof v.o === 'string' &&
+  Number.isSafeInteger(v.n) &&
+  bits(v.r, 3) &&
+  bits(v.b, 3) &&
+  bits(v.e, 3) &&
+  Array.isArray(v.i) &&
+  Number.isSafeInteger(v.t);
 const bit = (b: boolean): 0 | 1 => (b ? 1 : 0);
 
 export const encodeJob = (job: Job, folded: number): Stored => {
@@ -148,8 +163,10 @@
   };
 };
 
+/** Throws on a value that can't have been written by `encodeJob`. */
 export const decodeJob = (id: string, value: unknown, stamp: number): Job => {
   const v = value as Stored;
+  if (!whole(v)) throw new Error(`${id}: not a job`);
   const placed: Job['placed'] = new Map();
   for (const [machine, list] of Object.entries(v.p ?? {})) {
     for (const [attempt, ranges] of list) {
@@ -193,10 +210,31 @@
 
 export const encodeFinal = (f: FinalState): unknown => [f.status === 'done' ? 1 : 0, f.tasks];
 export const decodeFinal = (value: unknown): FinalState => {
+  if (!bits(value, 2)) throw new Error('not a final state');
   const [s, tasks] = value as [number, number];
   return { status: s === 1 ? 'done' : 'cancelled', tasks };
 };
 
+/** Several rebuilt jobs in one value. */
+export const encodePack = (jobs: readonly Job[]): unknown =>
+  Object.fromEntries(jobs.map((j) => [j.spec.id, encodeJob(j, j.touched)]));
+export const decodePack = (value: unknown): Job[] =>
+  Object.entries(value as Record<string, unknown>).map(([id, v]) => decodeJob(id, v, 0));
+
+/** Several final states in one value. */
+export const encodeOver = (finals: readonly (readonly [string, FinalState])[]): unknown =>
+  Object.fromEntries(finals.map(([id, f]) => [id, packFinal(f)]));
+export const decodeOver = (value: unknown): [string, FinalState][] =>
+  Object.entries(value as Record<string, number>).map(([id, n]) => [id, unpackFinal(n)]);
+
+/** What is known of a job that only workers name. */
+export interface Ward {
+  /** Time of day of its first mention, microseconds. */
+  readonly since: number;
+  /** Tasks of it that workers have named. */
+  readonly tasks: number;
+}
+
 type StoredChange = { d?: string; g?: string; x?: string; a?: number; p?: Record<string, string> };
 
 export const encodeChange = (c: JobChange): StoredChange => ({
--- a/packages/controller/src/jobs/feed.ts
+++ b/packages/controller/src/jobs/feed.ts
@@ -6,21 +6,30 @@
 import { duty } from '@lilacvalve/base/duty';
 import { info } from '@lilacvalve/base/log';
 import { type Micros, millis, toMillis } from '@lilacvalve/base/micros';
-import type { Entry, StateFailure } from '../state-store/client.js';
+import type { Doubt } from '../doubt/doubt.js';
+import { Priority } from '../state-store/budget.js';
+import { type Change, type Entry, Refused, type StateFailure } from '../state-store/client.js';
 import type { StatePort } from '../state-store/port.js';
 import type { JobCache } from './cache.js';
-import { ACTIVE, LEADER, RECORD, ROOT, TERM, TYPES } from './keys.js';
+import { ACTIVE, FINAL, INCARNATION, LEADER, LIFE, OVER, PACK, RECORD, ROOT, TERM, TYPES } from './keys.js';
 
 /** Between two shared reads, so that polls cannot eat the request budget. */
 const READ_GAP = { leader: millis(160), follower: millis(400) };
 /** Between two answers of the watch: a leader acts on what it brings, the others only keep up. */
 const WATCH_GAP_MS = { leader: 120, follower: 400 };
 const WATCH_MS = 3000;
+/** Between two pages of final states: they are read beside everything else. */
+const HISTORY_GAP_MS = 400;
+const PAGE = 1000;
+
+const doubted = new Refused({ status: 503, reason: 'the state service is doubted' });
 
 export class Feed {
   loaded = false;
   /** The cache is known to be at least as new as this moment. */
   readAsOf = Number.NEGATIVE_INFINITY as Micros;
+  /** Takes every change that this view takes; null: nobody does. */
+  onChanges: ((changes: readonly Change[]) => void) | null = null;
   private batch: Deferred.Deferred<void, StateFailure> | null = null;
   private lastRead = Number.NEGATIVE_INFINITY;
 
@@ -29,8 +38,12 @@
     private readonly store: StatePort,
     private readonly clock: () => Micros,
     private readonly leading: () => boolean,
+    private readonly doubt: Doubt,
   ) {}
 
+  /** The same, without a wait for others to share the read. */
+  readonly refreshNow: Effect.Effect<void, StateFailure> = Effect.suspend(() => this.read(0));
+
   /** Succeeds once the cache is at least as new as this call. */
   readonly refresh: Effect.Effect<void, StateFailure> = Effect.suspend(() => {
     if (this.batch) return Deferred.await(this.batch);
@@ -69,51 +82,141 @@
 
   private readOnce(blockMs: number): Effect.Effect<void, StateFailure> {
     return Effect.suspend(() => {
+      const asked = this.clock();
       if (!this.loaded) return this.reload;
       return this.store.follow(ROOT, this.cache.revision, blockMs).pipe(
         Effect.flatMap((c) => {
           if (c.tooOld) return this.reload;
-          this.cache.advance(c.changes, c.revision);
-          return Effect.void;
+          if (this.moved(c.changes)) return Effect.fail(doubted);
+          return Effect.zipRight(
+            this.doubt.sound() ? Effect.void : this.confirm,
+            Effect.suspend(() => {
+              if (c.changes.length > 0) this.onChanges?.(c.changes);
+              this.cache.advance(c.changes, c.revision);
+              return this.believe(asked);
+            }),
+          );
         }),
       );
     });
   }
 
-  /** Reads everything anew, then what changed meanwhile: only then is the view whole. */
-  private readonly reload: Effect.Effect<void, StateFailure> = Effect.suspend(() => {
+  /** Whether another incarnation has begun: its changes are none of this view's. */
+  private moved(changes: readonly Change[]): boolean {
+    const known = this.doubt.incarnation;
+    if (known === null) return false;
+    const other = changes.find(
+      (c) => c.key.startsWith(INCARNATION) && (c.value === undefined) === (c.key === INCARNATION + known.id),
+    );
+    if (other === undefined) return false;
+    this.doubt.raise('other incarnation', other.key);
+    return true;
+  }
+
+  /** Fails unless the store is still of this node's incarnation. */
+  private readonly confirm: Effect.Effect<void, StateFailure> = Effect.suspend(() => {
+    const known = this.doubt.incarnation;
+    if (known === null) return Effect.void;
+    const asked = this.clock();
+    return this.store.get(INCARNATION + known.id).pipe(
+      Effect.flatMap(({ entry }) => {
+        if (entry?.stamp === known.stamp) this.doubt.seen(asked);
+        else this.doubt.raise('other incarnation', `${known.id} is not there`);
+        return this.doubt.active ? Effect.fail(doubted) : Effect.void;
+      }),
+    );
+  });
+
+  /** Holds what was read at `asked` against what is known. */
+  private believe(asked: Micros): Effect.Effect<void, StateFailure> {
+    return Effect.suspend(() => {
+      const { cache, doubt } = this;
+      doubt.readIncarnation(cache.incarnation);
+      doubt.readTerm(cache.term, asked);
+      for (const key of cache.damaged.keys())
+        if (key.startsWith(ACTIVE) && cache.jobs.has(key.slice(ACTIVE.length)))
+          doubt.raise('value damaged', key);
+      if (doubt.active) return Effect.fail(doubted);
+      if (doubt.incarnation !== null && cache.revision >= doubt.floor()) doubt.onSound(doubt.incarnation.id);
+      return Effect.void;
+    });
+  }
+
+  /** All entries below a prefix, with the lowest revision of its pages. */
+  readonly all = (prefix: string): Effect.Effect<{ entries: Entry[]; base: number }, StateFailure> => {
     const entries: Entry[] = [];
     let base = Number.POSITIVE_INFINITY;
-    const all = (prefix: string, after: string | null): Effect.Effect<void, StateFailure> =>
-      this.store.page(prefix, after, 1000).pipe(
+    const from = (after: string | null): Effect.Effect<void, StateFailure> =>
+      this.store.page(prefix, after, PAGE).pipe(
         Effect.flatMap((p) => {
           base = Math.min(base, p.revision);
           entries.push(...p.entries);
           const last = p.entries[p.entries.length - 1];
-          return p.more && last ? all(prefix, last.key) : Effect.void;
+          return p.more && last ? from(last.key) : Effect.void;
         }),
       );
-    return all(RECORD, null).pipe(
-      Effect.zipRight(all(ACTIVE, null)),
-      Effect.zipRight(all(LEADER, null)),
-      Effect.zipRight(all(TERM, null)),
-      Effect.zipRight(all(TYPES, null)),
-      Effect.zipRight(
-        Effect.suspend(() =>
-          this.store.follow(ROOT, base, 0).pipe(
-            Effect.flatMap((c) => {
-              if (c.tooOld) return Effect.suspend(() => this.reload);
-              this.cache.load(entries, base);
-              this.cache.advance(c.changes, c.revision);
-              this.loaded = true;
-              return info('store read', { revision: c.revision, jobs: this.cache.jobs.size });
-            }),
-          ),
-        ),
-      ),
+    return Effect.map(from(null), () => ({ entries, base }));
+  };
+
+  /** Reads everything anew, then what changed meanwhile: only then is the view whole. */
+  private readonly reload: Effect.Effect<void, StateFailure> = Effect.suspend(() => {
+    const asked = this.clock();
+    return Effect.forEach([LIFE, RECORD, PACK, ACTIVE, LEADER, TERM, TYPES], (prefix) =>
+      this.all(prefix),
+    ).pipe(
+      Effect.flatMap((lists) => {
+        const base = Math.min(...lists.map((l) => l.base));
+        return this.store.follow(ROOT, base, 0).pipe(
+          Effect.flatMap((c) => {
+            if (c.tooOld) return Effect.suspend(() => this.reload);
+            this.cache.load(
+              lists.flatMap((l) => l.entries),
+              base,
+            );
+            this.cache.advance(c.changes, c.revision);
+            this.loaded = true;
+            return info('store read', { revision: c.revision, jobs: this.cache.jobs.size }).pipe(
+              Effect.zipRight(this.believe(asked)),
+            );
+          }),
+        );
+      }),
     );
   });
 
+  /** Reads the final states too, at leisure: should the store lose them, this node can tell them. */
+  readonly history = duty(
+    'history',
+    Effect.suspend(() => {
+      const { finals } = this.cache;
+      if (!this.loaded || finals.complete) return Effect.sleep(2000);
+      const from = (prefix: string, after: string | null): Effect.Effect<void, StateFailure> =>
+        this.store.page(prefix, after, PAGE, Priority.Upkeep).pipe(
+          Effect.flatMap((p) => {
+            for (const e of p.entries) this.cache.apply({ ...e });
+            const last = p.entries[p.entries.length - 1];
+            return p.more && last
+              ? Effect.zipRight(
+                  Effect.sleep(HISTORY_GAP_MS),
+                  Effect.suspend(() => from(prefix, last.key)),
+                )
+              : Effect.void;
+          }),
+        );
+      const before = finals.size;
+      return from(FINAL, null).pipe(
+        Effect.zipRight(from(OVER, null)),
+        Effect.zipRight(
+          Effect.suspend(() => {
+            finals.complete = this.loaded && finals.room;
+            return info('final states read', { known: finals.size, before });
+          }),
+        ),
+        Effect.catchAll(() => Effect.sleep(2000)),
+      );
+    }).pipe(Effect.forever),
+  );
+
   readonly run = duty(
     'watch',
     Effect.suspend(() => {
--- a/packages/controller/src/jobs/model.ts
+++ b/packages/controller/src/jobs/model.ts
@@ -80,7 +80,7 @@
 }
 
 /** More machines than this tell nothing new about a job that failed on all of them. */
-const FAILURES_KEPT = 4;
+export const FAILURES_KEPT = 4;
 
 export type FinalState = { readonly status: 'done' | 'cancelled'; readonly tasks: number };
 
--- a/packages/controller/src/leadership/leadership.ts
+++ b/packages/controller/src/leadership/leadership.ts
@@ -3,13 +3,16 @@
  * lease, names the leader; the term key only grows, is the workers' token, and every committing write is
  * conditional on its revision, so that a deposed leader's late transaction fails.
  */
-import { Effect, Queue, Random } from 'effect';
+import { Clock, Effect, Queue, Random } from 'effect';
 import { duty } from '@lilacvalve/base/duty';
 import { info } from '@lilacvalve/base/log';
 import { DRIFT, type Micros, millis, plus, seconds, toMillis } from '@lilacvalve/base/micros';
 import type { JobCache } from '../jobs/cache.js';
 import type { Feed } from '../jobs/feed.js';
-import { LEADER, TERM } from '../jobs/keys.js';
+import { type Doubt } from '../doubt/doubt.js';
+import { floorOf, generationOf } from '../doubt/model.js';
+import { CALM, FOUNDED, INCARNATION, LEADER, LIFE, REBUILD, SETTLED, TERM } from '../jobs/keys.js';
+import type { StateFailure, Write } from '../state-store/client.js';
 import type { Contacts } from './contacts.js';
 import type { Peers } from './peers.js';
 import type { Settings } from '../settings/settings.js';
@@ -30,6 +33,12 @@
   readonly began: Micros;
 }
 
+/** A name that no other incarnation has: by whom, when, and luck. */
+const newId = (label: string): Effect.Effect<string> =>
+  Effect.zipWith(Clock.currentTimeMillis, Random.nextIntBetween(0, 2 ** 31), (at, luck) =>
+    [label.replace(/[^\w-]/g, '_').slice(0, 60), Math.round(at).toString(36), luck.toString(36)].join('.'),
+  );
+
 export class Leadership {
   private reign: Reign | null = null;
   private lease: number | null = null;
@@ -48,9 +57,14 @@
   constructor(
     private readonly settings: Settings,
     private readonly store: StatePort,
+    /** The state service as it is, for what begins an incarnation. */
+    private readonly raw: StatePort,
+    private readonly doubt: Doubt,
+    /** Keeps this node's view as a relic and makes it ready for another incarnation's. */
+    private readonly leaveView: () => void,
     private readonly feed: Feed,
     private readonly cache: JobCache,
-    private readonly peers: Pick<Peers, 'confirmedUntil' | 'highestTerm' | 'candidates'>,
+    private readonly peers: Pick<Peers, 'confirmedUntil' | 'highestTerm' | 'candidates' | 'allAsked'>,
     private readonly contacts: Contacts,
     private readonly clock: () => Micros,
   ) {
@@ -60,18 +74,23 @@
 
   /** The reign this node may act for right now, or null. */
   acting(): Reign | null {
-    return this.reign !== null && this.clock() < this.rightUntil ? this.reign : null;
+    return this.reign !== null && !this.doubt.active && this.clock() < this.rightUntil ? this.reign : null;
+  }
+
+  /** The term this node is acting for; null: none. */
+  leads(): number | null {
+    return this.acting()?.term ?? null;
   }
 
   /**
-   * The reign this node may answer reports for: its own right, or a hold while the state service is out.
+   * The reign this node may answer reports for: its own right, or a hold while the state service is out or doubted.
    * A hold places nothing; it only repeats what is durable, so that workers keep their leases.
    */
   answering(): Reign | null {
     const { reign } = this;
     if (reign === null) return null;
     const at = this.clock();
-    if (at < this.rightUntil) return reign;
+    if (at < this.rightUntil && !this.doubt.active) return reign;
     return at < this.holdEnds() && at < this.peers.confirmedUntil(reign.term) ? reign : null;
   }
 
@@ -96,6 +115,12 @@
     if (this.reign && token > this.reign.term) this.end();
   }
 
+  /** What it held was of an incarnation that is over; a lease's number may by now be another's. */
+  forsake(): void {
+    this.end();
+    this.lease = null;
+  }
+
   private end(): void {
     this.reign = null;
     this.rightUntil = Number.NEGATIVE_INFINITY;
@@ -151,10 +176,14 @@
   private readonly campaign = Effect.gen(this, function* () {
     yield* this.dropOrphan;
     if (this.cache.leader !== null) this.vacantSince = null;
-    if (!this.feed.loaded || this.cache.leader !== null || this.clock() < this.shunUntil) return;
+    if (this.doubt.active || !this.feed.loaded || this.cache.leader !== null || this.clock() < this.shunUntil)
+      return;
     if (this.worsePlaced()) return;
     yield* this.feed.refresh;
     if (this.cache.leader !== null) return;
+    // Named by somebody after the read: a newer read shows whether the store has it.
+    if (this.doubt.highestTerm() > this.cache.term) return;
+    if (this.cache.incarnation === null) return;
     const asked = this.clock();
     const lease = yield* this.store.grant(this.ttl);
     const term = this.cache.term + 1;
@@ -175,15 +204,104 @@
       yield* this.feed.refresh;
       return;
     }
-    this.lease = lease;
-    this.rightUntil = plus(asked, this.ttl * (1 - DRIFT) - MARGIN);
-    this.store.leading(true);
-    // Placing needs a view that includes everything earlier terms committed.
-    yield* this.feed.refresh;
-    if (this.cache.term !== term) return;
-    this.reign = { term, stamp: outcome.revision, began: this.clock() };
-    Queue.unsafeOffer(this.begun, undefined);
-    yield* info('leads', { term });
+    yield* this.begin(term, outcome.revision, lease, asked);
+  });
+
+  /** The transaction that gave this node the lead is committed; `asked`: when the lease was asked for. */
+  private begin(
+    term: number,
+    stamp: number,
+    lease: number,
+    asked: Micros,
+  ): Effect.Effect<void, StateFailure> {
+    return Effect.gen(this, function* () {
+      this.lease = lease;
+      this.rightUntil = plus(asked, this.ttl * (1 - DRIFT) - MARGIN);
+      this.store.leading(true);
+      // Placing needs a view that includes everything earlier terms committed.
+      yield* this.feed.refresh;
+      if (this.cache.term !== term) return;
+      this.reign = { term, stamp, began: this.clock() };
+      Queue.unsafeOffer(this.begun, undefined);
+      yield* info('leads', { term });
+    });
+  }
+
+  /**
+   * Begins the store's first incarnation, at once, when nobody who answers knows of one: users need not wait for a leader.
+   * A store that was written by a version without incarnations gets one the same way.
+   */
+  readonly found: Effect.Effect<void, StateFailure> = Effect.gen(this, function* () {
+    if (this.doubt.active || !this.feed.loaded || this.cache.incarnation !== null) return;
+    if (!this.peers.allAsked() || this.doubt.known().generation >= 0) return;
+    const born = INCARNATION + (yield* newId(this.settings.label));
+    const outcome = yield* this.raw.transact(
+      [
+        { key: FOUNDED, stamp: 0 },
+        { key: TERM, stamp: this.cache.termStamp },
+        { key: born, stamp: 0 },
+      ],
+      [
+        { set: FOUNDED, value: this.settings.label },
+        { set: born, value: { g: 0, by: this.settings.label } },
+      ],
+      Priority.Lease,
+      1500,
+    );
+    yield* this.feed.refreshNow;
+    if (outcome.ok) yield* info('store founded');
+  });
+
+  /**
+   * Begins a new incarnation of the store, which has lost data, and leads it: a rebuild follows. Of several nodes that
+   * try, the conditions let one through. The terms of a generation lie above all that were ever used before it.
+   */
+  readonly refound: Effect.Effect<boolean, StateFailure> = Effect.gen(this, function* () {
+    const [life, lead, last] = yield* Effect.all([
+      this.raw.page(LIFE, null, 1000),
+      this.raw.page(LEADER, null, 1),
+      this.raw.page(TERM, null, 1),
+    ]);
+    const old = life.entries.filter((e) => e.key.startsWith(INCARNATION));
+    const known = this.doubt.known();
+    const generations = old.map((e) => (e.value as { g?: number } | null)?.g ?? 0);
+    // Somebody was faster: the next look shows that the store was rebuilt.
+    if (generations.some((g) => g > known.generation)) return false;
+    const there = (last.entries[0]?.value as { term: number } | undefined)?.term ?? 0;
+    const generation =
+      1 + Math.max(known.generation, generationOf(Math.max(known.term, there)), ...generations);
+    const term = floorOf(generation) + 1;
+    const born = INCARNATION + (yield* newId(this.settings.label));
+    const asked = this.clock();
+    const lease = yield* this.raw.grant(this.ttl);
+    const gone: Write[] = life.entries
+      .filter((e) => old.includes(e) || [CALM, SETTLED].includes(e.key))
+      .map((e) => ({ delete: e.key }));
+    const outcome = yield* this.raw.transact(
+      [
+        ...old.map((e) => ({ key: e.key, stamp: e.stamp })),
+        { key: LEADER, stamp: lead.entries[0]?.stamp ?? 0 },
+        { key: TERM, stamp: last.entries[0]?.stamp ?? 0 },
+        { key: born, stamp: 0 },
+      ],
+      [
+        ...gone,
+        { set: born, value: { g: generation, by: this.settings.label } },
+        { set: REBUILD, value: { phase: 'gather', heard: [] } },
+        { set: LEADER, value: { node: this.settings.label, term, lease }, lease },
+        { set: TERM, value: { term } },
+      ],
+      Priority.Lease,
+      1500,
+    );
+    if (!outcome.ok) {
+      yield* Effect.ignore(this.raw.release(lease));
+      return false;
+    }
+    yield* info('new incarnation', { term, generation, was: known.incarnation?.id ?? 'unknown' });
+    this.leaveView();
+    yield* this.begin(term, outcome.revision, lease, asked);
+    return true;
   });
 
   private readonly renew = Effect.gen(this, function* () {
@@ -194,7 +312,10 @@
       .extend(lease, left <= 0 ? 900 : Math.max(200, Math.min(900, toMillis(left))))
       .pipe(Effect.orElseSucceed(() => null));
     if (kept === true && this.lease === lease) this.rightUntil = plus(asked, this.ttl * (1 - DRIFT) - MARGIN);
-    if (kept === false) this.end();
+    if (kept !== false) return;
+    // A lease that is gone may be the first sign of a store that has lost data: then this reign may hold on.
+    yield* Effect.ignore(this.feed.refresh);
+    if (!this.doubt.active) this.end();
   });
 
   readonly run = duty(
--- a/packages/controller/src/leadership/peers.ts
+++ b/packages/controller/src/leadership/peers.ts
@@ -13,6 +13,7 @@
 import { type Answer, type Incoming, json } from '@lilacvalve/base/http-server';
 import { type Micros, plus, seconds } from '@lilacvalve/base/micros';
 import type { FleetNews } from '../fleet/model.js';
+import type { ViewPort } from '../rebuild/exchange.js';
 import type { Peer, Settings } from '../settings/settings.js';
 
 export interface Beat {
@@ -25,10 +26,24 @@
   readonly loaded: boolean;
   /** Workers that have reached the sender lately, whatever it answered them. */
   readonly contacts: number;
+  /** What the sender has seen of the state service; null: nothing yet. */
+  readonly life?: Life | null;
+  /** The sender remembers what may not be durable any more. */
+  readonly relics?: boolean;
   /** From a leader only: what its successor should know of its machines. */
   readonly news?: FleetNews;
 }
 
+export interface Life {
+  readonly incarnation: string;
+  readonly generation: number;
+  /** The highest revision seen, and the one that the sender's view is as of. */
+  readonly revision: number;
+  readonly read: number;
+  /** How long ago, at the most, the sender saw the incarnation's key in the store; microseconds. */
+  readonly age: number;
+}
+
 /** Carries a beat to a peer and its answering beat back. */
 export interface PeerPort {
   exchange(peer: Peer, beat: Beat): Effect.Effect<Beat, NoAnswer>;
@@ -53,6 +68,12 @@
   private readonly answers = new Map<string, Heard>();
   private readonly known = new Set<string>();
   private readonly heardAt = new Map<string, Micros>();
+  /** Peers that have been asked, whether they answered or not. */
+  private readonly asked = new Set<string>();
+  /** Called with every beat of a peer. */
+  onBeat: (beat: Beat) => void = () => undefined;
+  /** Called with a peer's answer to this node's beat, which was sent at `asked`: what it says was true since. */
+  onAnswer: (beat: Beat, asked: Micros) => void = () => undefined;
   private highest = 0;
   private news: { readonly news: FleetNews; readonly at: Micros } | null = null;
 
@@ -78,9 +99,31 @@
     if (beat.news !== undefined && beat.term >= this.highest)
       this.news = { news: beat.news, at: this.clock() };
     this.highest = Math.max(this.highest, beat.term);
+    this.onBeat(beat);
     return this.beat();
   }
 
+  /** Every peer has been asked once; who answered has said what it knows. */
+  allAsked(): boolean {
+    return this.asked.size >= this.settings.peers.length;
+  }
+
+  /** Reachable peers that have not said that they have read `incarnation` up to `revision`. */
+  behind(incarnation: string, revision: number): Peer[] {
+    return this.settings.peers.filter((p) => {
+      if (!this.reaches(p.label)) return false;
+      const life = this.answers.get(p.label)?.beat.life;
+      return life?.incarnation !== incarnation || life.read < revision;
+    });
+  }
+
+  /** Peers that lately said they have relics. */
+  withRelics(): string[] {
+    return this.fresh()
+      .filter((b) => b.relics === true)
+      .map((b) => b.from);
+  }
+
   /** The latest that a leader said of its machines, and when it came. */
   lastNews(): { readonly news: FleetNews; readonly at: Micros } | null {
     return this.news;
@@ -150,8 +193,11 @@
             this.highest = Math.max(this.highest, answer.term);
             this.answers.set(answer.from, { beat: answer, asked, at: this.clock() });
             this.heard(answer.from);
+            this.onBeat(answer);
+            this.onAnswer(answer, asked);
           }),
           Effect.ignore,
+          Effect.ensuring(Effect.sync(() => this.asked.add(peer.label))),
         );
       }).pipe(Effect.zipRight(Effect.sleep(EVERY_MS)), Effect.forever),
     );
@@ -172,6 +218,18 @@
     served: Schema.Boolean,
     loaded: Schema.Boolean,
     contacts: Schema.Int,
+    life: Schema.optional(
+      Schema.NullOr(
+        Schema.Struct({
+          incarnation: Schema.String,
+          generation: Schema.Int,
+          revision: Schema.Int,
+          read: Schema.Int,
+          age: Schema.Number,
+        }),
+      ),
+    ),
+    relics: Schema.optional(Schema.Boolean),
     news: Schema.optional(
       Schema.Struct({
         rented: Schema.Array(
@@ -199,14 +257,34 @@
   }
 };
 
-/** Beats as msgpack over HTTP. */
-export class HttpPeers implements PeerPort {
+/** How long a peer may take for a page of its view. */
+const VIEW_TIMEOUT_MS = 2500;
+
+/** Beats, and what rebuilding asks, as msgpack over HTTP. */
+export class HttpPeers implements PeerPort, ViewPort {
   private readonly clients = new Map<string, HttpClient>();
 
-  exchange(peer: Peer, beat: Beat): Effect.Effect<Beat, NoAnswer> {
+  private client(peer: Peer): HttpClient {
     let c = this.clients.get(peer.label);
     if (!c)
       this.clients.set(peer.label, (c = new HttpClient(peer.address, keptOpen(2), 'application/msgpack')));
+    return c;
+  }
+
+  ask(peer: Peer, path: string, body: Buffer): Effect.Effect<Buffer, NoAnswer> {
+    return this.client(peer)
+      .request('POST', path, body, VIEW_TIMEOUT_MS)
+      .pipe(
+        Effect.flatMap((r) =>
+          r.status === 200
+            ? Effect.succeed(r.body)
+            : Effect.fail(new NoAnswer({ reason: `status ${r.status}` })),
+        ),
+      );
+  }
+
+  exchange(peer: Peer, beat: Beat): Effect.Effect<Beat, NoAnswer> {
+    const c = this.client(peer);
     return c.request('POST', '/beat', Buffer.from(pack(beat)), 900).pipe(
       Effect.flatMap((r) => {
         const beat = readBeat(r.body);
--- a/packages/controller/src/main.ts
+++ b/packages/controller/src/main.ts
@@ -1,6 +1,7 @@
 /** The controller's entry: flags, checked settings, wiring, orderly stop. */
 import { Command } from 'commander';
 import { Effect, Either, Fiber } from 'effect';
+import { DiskFiles } from '@lilacvalve/snapshot/files';
 import { parseAddress } from '@lilacvalve/base/http-client';
 import { serve } from '@lilacvalve/base/http-server';
 import { error, info, logLayer } from '@lilacvalve/base/log';
@@ -18,17 +19,20 @@
 /** Batches of reports are larger than any one request of a user or worker. */
 const PEER_BODY = 1024 * 1024;
 
-const program = (settings: Settings) =>
+const program = (settings: Settings, snapshots: string | undefined) =>
   Effect.scoped(
     Effect.gen(function* () {
+      const links = new HttpPeers();
       const node = makeNode(settings, {
         store: new StateStore(settings),
         cloud: new Cloud(settings),
         workers: new Workers(settings),
-        peers: new HttpPeers(),
+        peers: links,
+        views: links,
         relay: new HttpRelay(),
         clock: now,
         dayTime: () => micros(Date.now() * 1000),
+        snapshots: snapshots === undefined ? null : new DiskFiles(snapshots),
       });
       const max = settings.limits.maxConnections;
       yield* serve(parseAddress(settings.listen), Math.floor(max * 0.8), node.handle, { quick: node.quick });
@@ -47,11 +51,12 @@
   .description('Controller node of the lilacvalve cluster scheduler')
   .version(version)
   .requiredOption('--config <file>', "the platform's settings file (TOML)")
+  .option('--snapshots <dir>', 'keep snapshots of the state service there, and rebuild from them')
   .option('--check', 'only check the settings file, then exit')
   .showHelpAfterError(false)
   .parse();
 
-const options = cli.opts<{ config: string; check?: boolean }>();
+const options = cli.opts<{ config: string; check?: boolean; snapshots?: string }>();
 const settings = readSettings(options.config);
 if (Either.isLeft(settings)) {
   process.stderr.write(`settings: ${settings.left}\n`);
@@ -69,7 +74,7 @@
 }
 
 const main = Effect.runFork(
-  program(settings.right).pipe(
+  program(settings.right, options.snapshots).pipe(
     Effect.catchAllCause((cause) =>
       error('ended', { reason: String(cause) }).pipe(Effect.as('failed' as const)),
     ),
--- /dev/null
+++ b/packages/controller/src/pulse.ts
@@ -0,0 +1,63 @@
+/** What a node does whether it leads or not, to know how it stands: its pulse, its counts, its tie to the state service. */
+import { duty } from '@lilacvalve/base/duty';
+import { info } from '@lilacvalve/base/log';
+import { type Micros, millis, toMillis } from '@lilacvalve/base/micros';
+import { Effect } from 'effect';
+import type { Feed } from './jobs/feed.js';
+import type { Admission } from './overload/admission.js';
+import type { StatePort } from './state-store/port.js';
+import { takeTally } from './tally.js';
+
+const PULSE = millis(500);
+const QUICK_PULSE = millis(100);
+const LATE = millis(300);
+/** A pulse so much too late is worth a line in the log. */
+const STILL_MS = 1500;
+const LOAD_EVERY_MS = 10_000;
+
+/** Whether the state service serves this node, as far as its own requests tell. */
+export const servedBy =
+  (store: Pick<StatePort, 'lastServed' | 'lastRefused'>, clock: () => Micros) => (): boolean => {
+    const at = clock();
+    if (at - store.lastServed > 2.5e6) return false;
+    return store.lastServed >= store.lastRefused || at - store.lastServed < 1e6;
+  };
+
+/** Keeps that true to the moment, also when no user asks for anything. */
+export const probe = (store: Pick<StatePort, 'lastServed'>, feed: Feed, clock: () => Micros) =>
+  duty(
+    'probe',
+    Effect.suspend(() => (clock() - store.lastServed > 1e6 ? Effect.ignore(feed.refresh) : Effect.void)).pipe(
+      Effect.zipRight(Effect.sleep(500)),
+      Effect.forever,
+    ),
+  );
+
+/** Operators should see in the log that this node stood still: its clocks ran on, and its right may be gone. */
+export const pulse = (admission: Admission, leads: () => boolean) =>
+  duty(
+    'pulse',
+    Effect.suspend(() => {
+      // One that was late is looked at again soon: the node may have caught up at once.
+      const beat = admission.lag() > LATE ? QUICK_PULSE : PULSE;
+      admission.sleeps(beat);
+      return Effect.sleep(toMillis(beat)).pipe(
+        Effect.zipRight(
+          Effect.suspend(() => {
+            const gap = toMillis(admission.woke());
+            return gap < STILL_MS ? Effect.void : info('stood still', { ms: gap, leads: leads() });
+          }),
+        ),
+      );
+    }).pipe(Effect.forever),
+  );
+
+/** What this node did, whether it leads or not. */
+export const loadLine = (leads: () => boolean) =>
+  duty(
+    'load',
+    Effect.sleep(LOAD_EVERY_MS).pipe(
+      Effect.zipRight(Effect.suspend(() => info('load', { leads: leads(), ...takeTally() }))),
+      Effect.forever,
+    ),
+  );
--- /dev/null
+++ b/packages/controller/src/rebuild/codec.ts
@@ -0,0 +1,84 @@
+/** What the rebuilder and the other controllers tell each other, as msgpack. Anything else is answered null. */
+import { pack, unpack } from 'msgpackr';
+import { decodeJob, encodeJob } from '../jobs/codec.js';
+import { packFinal, unpackFinal } from '../jobs/finals.js';
+import type { FinalState } from '../jobs/model.js';
+import type { Claim } from './merge.js';
+
+/** Asks for what the asked node remembers and the asker does not have alike, from a range of ids on. */
+export interface Ask {
+  /** The asker's incarnation. */
+  readonly incarnation: string;
+  readonly digest: Uint32Array;
+  readonly from: number;
+}
+/** One relic's standing, without its jobs. */
+export interface Head {
+  readonly id: string;
+  readonly lastSeq: number;
+  readonly term: number;
+  readonly led: number | null;
+}
+export interface Told {
+  readonly heads: readonly Head[];
+  readonly claims: readonly Claim[];
+  readonly finals: readonly (readonly [string, FinalState])[];
+  /** The range to go on from; null: that was all. */
+  readonly next: number | null;
+}
+
+type WireClaim = [id: string, generation: number, revision: number, job: unknown];
+
+export const encodeAsk = (a: Ask): Buffer => Buffer.from(pack([a.incarnation, [...a.digest], a.from]));
+export const decodeAsk = (body: Buffer): Ask | null => {
+  try {
+    const [incarnation, digest, from] = unpack(body) as [string, number[], number];
+    if (typeof incarnation !== 'string' || !Array.isArray(digest) || !Number.isSafeInteger(from)) return null;
+    return { incarnation, digest: Uint32Array.from(digest), from };
+  } catch {
+    return null;
+  }
+};
+
+export const encodeTold = (t: Told): Buffer =>
+  Buffer.from(
+    pack([
+      t.heads.map((h) => [h.id, h.lastSeq, h.term, h.led]),
+      t.claims.map((c): WireClaim => [c.job.spec.id, c.generation, c.revision, encodeJob(c.job, 0)]),
+      t.finals.map(([id, f]) => [id, packFinal(f)]),
+      t.next,
+    ]),
+  );
+export const decodeTold = (body: Buffer): Told | null => {
+  try {
+    const [heads, claims, finals, next] = unpack(body) as [
+      [string, number, number, number | null][],
+      WireClaim[],
+      [string, number][],
+      number | null,
+    ];
+    return {
+      heads: heads.map(([id, lastSeq, term, led]) => ({ id, lastSeq, term, led })),
+      claims: claims.map(([id, generation, revision, job]) => ({
+        generation,
+        revision,
+        job: decodeJob(id, job, 0),
+      })),
+      finals: finals.map(([id, n]) => [id, unpackFinal(n)] as const),
+      next,
+    };
+  } catch {
+    return null;
+  }
+};
+
+/** Relics whose content is durable by now. */
+export const encodeDurable = (ids: readonly string[]): Buffer => Buffer.from(pack(ids));
+export const decodeDurable = (body: Buffer): string[] | null => {
+  try {
+    const ids: unknown = unpack(body);
+    return Array.isArray(ids) && ids.every((i) => typeof i === 'string') ? (ids as string[]) : null;
+  } catch {
+    return null;
+  }
+};
--- /dev/null
+++ b/packages/controller/src/rebuild/duty.ts
@@ -0,0 +1,391 @@
+/**
+ * The leader's part in a rebuild: gathers what every controller remembers, joins it, makes it durable, and tells when
+ * nothing is missing any more. Each step can be begun again by another node: what is written is written under conditions,
+ * and a view is forgotten only once its content is durable.
+ */
+import { info } from '@lilacvalve/base/log';
+import { type Micros, seconds } from '@lilacvalve/base/micros';
+import { Effect, Random } from 'effect';
+import type { Doubt } from '../doubt/doubt.js';
+import type { JobCache, Rebuilding } from '../jobs/cache.js';
+import { decodeOver, encodeFinal, encodeJob, encodeOver, encodePack } from '../jobs/codec.js';
+import type { Feed } from '../jobs/feed.js';
+import {
+  activeKey,
+  CALM,
+  FINAL,
+  finalKey,
+  OVER,
+  OVER_PART,
+  overKey,
+  PACK,
+  REBUILD,
+  SETTLED,
+  TERM,
+} from '../jobs/keys.js';
+import type { FinalState, Job } from '../jobs/model.js';
+import type { Reign } from '../leadership/leadership.js';
+import type { Peer, Settings } from '../settings/settings.js';
+import { Priority } from '../state-store/budget.js';
+import type { Condition, StateFailure, Write } from '../state-store/client.js';
+import type { StatePort } from '../state-store/port.js';
+import { encodeDurable, type Head, type Told } from './codec.js';
+import { digestOf } from './digest.js';
+import { askAll, DURABLE, type ViewPort } from './exchange.js';
+import { type Claim, mergeClaims } from './merge.js';
+import { joinFinals, type Plan, planOf } from './plan.js';
+import { claimsOf, type Relics } from './relics.js';
+import type { Witness } from './witness.js';
+
+/** How long controllers that do not answer are waited for before the first writing. */
+const GATHER = seconds(3);
+const ASK_AGAIN_MS = 400;
+/** A pack is written anew when one of its jobs is over: small enough that several fit into one transaction. */
+const PACK_BYTES = 8 * 1024;
+const PACK_JOBS = 24;
+const OVER_COUNT = 300;
+/** Final states written by keys of their own in one transaction, each with two changes and perhaps a pack's. */
+const CLOSE_COUNT = 6;
+/** Conditions that every transaction carries: the term and the incarnation. */
+const FIXED = 2;
+
+export interface Rebuild {
+  readonly settings: Settings;
+  readonly store: StatePort;
+  readonly feed: Feed;
+  readonly cache: JobCache;
+  readonly doubt: Doubt;
+  readonly relics: Relics;
+  readonly witness: Witness;
+  readonly port: ViewPort;
+  readonly reign: Reign;
+  readonly reigning: () => boolean;
+  readonly acting: () => boolean;
+  readonly clock: () => Micros;
+}
+
+/** What has been gathered in this reign. */
+export class Gathered {
+  readonly heard = new Set<string>();
+  /** Relics by holder, to be told to when their content is durable. */
+  readonly heads = new Map<string, readonly Head[]>();
+  private readonly claims: Claim[] = [];
+  private readonly finals = new Map<string, FinalState>();
+
+  take(label: string, t: Told): void {
+    this.heard.add(label);
+    this.heads.set(label, t.heads);
+    this.claims.push(...t.claims);
+    joinFinals(this.finals, t.finals);
+  }
+
+  /** All claims, this node's own included, by job. */
+  byJob(own: Pick<Rebuild, 'relics' | 'witness'>): Map<string, Claim[]> {
+    return claimsOf(own.relics.all, [...own.witness.claims(), ...this.claims]);
+  }
+
+  finalStates(own: Pick<Rebuild, 'cache' | 'witness'>): Map<string, FinalState> {
+    const out = new Map(this.finals);
+    joinFinals(out, own.cache.finals.entries());
+    joinFinals(out, own.witness.finals());
+    return out;
+  }
+
+  /** Their content is durable. */
+  clear(): void {
+    this.claims.length = 0;
+    this.finals.clear();
+    this.heads.clear();
+  }
+}
+
+/** Asks those of `peers` that have not been heard; whoever does not answer is asked again another time. */
+export const gather = (r: Rebuild, g: Gathered, peers: readonly Peer[]): Effect.Effect<void> =>
+  Effect.suspend(() => {
+    const incarnation = r.doubt.incarnation?.id;
+    if (incarnation === undefined || peers.length === 0) return Effect.void;
+    const merged: Job[] = [...g.byJob(r).values()].map((list) => mergeClaims(list));
+    const mine = digestOf(merged, g.finalStates(r));
+    return Effect.forEach(
+      peers,
+      (p) =>
+        askAll(r.port, p, incarnation, mine).pipe(
+          Effect.map((t) => g.take(p.label, t)),
+          Effect.ignore,
+        ),
+      { concurrency: 'unbounded', discard: true },
+    );
+  });
+
+/** One transaction of the writing. */
+interface Step {
+  readonly when: readonly Condition[];
+  readonly then: readonly Write[];
+}
+
+/** Groups of at most `count` items whose JSON is at most `bytes` long together. */
+const groups = <A>(items: readonly A[], count: number, bytes: number, encode: (a: A) => unknown): A[][] => {
+  const out: A[][] = [];
+  let size = 0;
+  for (const item of items) {
+    const n = JSON.stringify(encode(item)).length + 24;
+    const last = out[out.length - 1];
+    if (last === undefined || last.length >= count || size + n > bytes) {
+      out.push([item]);
+      size = n;
+    } else {
+      last.push(item);
+      size += n;
+    }
+  }
+  return out;
+};
+
+/** `run`: names this pass's packs and pages. `quiet`: nobody else can be writing these jobs yet. */
+const stepsOf = (r: Rebuild, plan: Plan, run: string, seq: number, quiet: boolean): Step[] => {
+  const bytes = Math.min(PACK_BYTES, r.settings.state.valueBytes * 0.8);
+  const { txnOps } = r.settings.state;
+  const packed = Math.max(1, Math.min(PACK_JOBS, Math.floor((txnOps * 4 - FIXED - 1) / 2)));
+  const closed = Math.max(1, Math.min(CLOSE_COUNT, Math.floor(txnOps / 3)));
+  const steps: Step[] = [];
+  for (const { job, stamp } of plan.differing) {
+    const key = activeKey(job.spec.id);
+    steps.push({ when: [{ key, stamp }], then: [{ set: key, value: encodeJob(job, seq) }] });
+  }
+  groups(plan.missing, packed, bytes, (j) => encodeJob(j, seq)).forEach((jobs, n) => {
+    const key = `${PACK}${run}-${String(n).padStart(6, '0')}`;
+    const free = jobs.flatMap((j) => [
+      { key: activeKey(j.spec.id), stamp: 0 },
+      { key: finalKey(j.spec.id), stamp: 0 },
+    ]);
+    steps.push({ when: [{ key, stamp: 0 }, ...free], then: [{ set: key, value: encodePack(jobs) }] });
+  });
+  for (let i = 0; i < plan.close.length; i += closed) {
+    const part = plan.close.slice(i, i + closed);
+    const packs = r.cache.unpacking(part.map((c) => c.id));
+    steps.push({
+      when: [...part.map((c) => ({ key: activeKey(c.id), stamp: c.stamp })), ...packs.when],
+      then: [
+        ...part.flatMap((c): Write[] => [
+          { delete: activeKey(c.id) },
+          { set: finalKey(c.id), value: encodeFinal(c.final) },
+        ]),
+        ...packs.then,
+      ],
+    });
+  }
+  if (quiet)
+    groups(plan.over, OVER_COUNT, bytes, ([id]) => id).forEach((list, n) => {
+      const key = overKey(run, list[list.length - 1]![0]);
+      const first: Write[] = n === 0 ? [{ set: OVER_PART + run, value: 1 }] : [];
+      steps.push({ when: [{ key, stamp: 0 }], then: [...first, { set: key, value: encodeOver(list) }] });
+    });
+  else
+    for (let i = 0; i < plan.over.length; i += closed) {
+      const part = plan.over.slice(i, i + closed);
+      steps.push({
+        when: part.flatMap(([id]) => [
+          { key: activeKey(id), stamp: 0 },
+          { key: finalKey(id), stamp: 0 },
+        ]),
+        then: part.map(([id, f]) => ({ set: finalKey(id), value: encodeFinal(f) })),
+      });
+    }
+  return steps;
+};
+
+/** true: applied. false: a condition failed, or the reign is over. */
+const apply = (r: Rebuild, step: Step): Effect.Effect<boolean> =>
+  Effect.gen(function* () {
+    const when = [{ key: TERM, stamp: r.reign.stamp }, ...step.when];
+    for (;;) {
+      if (!r.reigning()) return false;
+      if (!r.acting()) {
+        yield* Effect.sleep(100);
+        continue;
+      }
+      const o = yield* Effect.either(r.store.transact(when, step.then, Priority.Commit, 1500));
+      if (o._tag === 'Right') return o.right.ok;
+      yield* Effect.sleep(60 + 80 * (yield* Random.next));
+    }
+  });
+
+/** Final states that are durable, with the page keys' content. */
+const durableFinals = (feed: Feed): Effect.Effect<Set<string>, StateFailure> =>
+  Effect.gen(function* () {
+    const out = new Set<string>();
+    for (const e of (yield* feed.all(FINAL)).entries) out.add(e.key.slice(FINAL.length));
+    for (const e of (yield* feed.all(OVER)).entries) for (const [id] of decodeOver(e.value)) out.add(id);
+    return out;
+  });
+
+let runs = 0;
+
+/** Makes durable what has been gathered. true: all of it is. `quiet`: see `stepsOf`. */
+export const writeBack = (r: Rebuild, g: Gathered, quiet: boolean): Effect.Effect<boolean, StateFailure> =>
+  Effect.gen(function* () {
+    for (let pass = 0; pass < 20 && r.reigning(); pass++) {
+      yield* r.feed.refresh;
+      const finals = g.finalStates(r);
+      const durable = yield* durableFinals(r.feed);
+      const heads = [...r.relics.all, ...[...g.heads.values()].flat()];
+      // Beside others' records a job may include those that are known by now only.
+      const seq = quiet ? Math.max(r.cache.lastSeq, ...heads.map((h) => h.lastSeq)) : r.cache.lastSeq;
+      const plan = planOf(
+        {
+          jobs: r.cache.jobs,
+          damaged: (id) => r.cache.damaged.get(activeKey(id)),
+          over: (id) => durable.has(id),
+          // What is left after a loss may be of any time; what has gone on since a rebuild is the latest.
+          generation: quiet ? -1 : Number.MAX_SAFE_INTEGER,
+          revision: -1,
+        },
+        g.byJob(r),
+        finals,
+        seq,
+      );
+      const run = `${r.reign.term}-${++runs}`;
+      const steps = stepsOf(r, plan, run, seq, quiet);
+      if (steps.length === 0) return true;
+      yield* info('rebuild writes', {
+        term: r.reign.term,
+        missing: plan.missing.length,
+        differing: plan.differing.length,
+        over: plan.over.length + plan.close.length,
+        changes: steps.reduce((n, s) => n + s.then.length, 0),
+      });
+      for (const s of steps) {
+        yield* apply(r, s);
+        if (!r.reigning()) return false;
+      }
+    }
+    return false;
+  });
+
+/** Says how far the rebuild has come; `more`: said with it. false: somebody else has said something meanwhile. */
+const say = (
+  r: Rebuild,
+  g: Gathered,
+  phase: 'write' | 'wait',
+  more: readonly Write[],
+): Effect.Effect<boolean> =>
+  Effect.suspend(() => {
+    const there = r.cache.rebuild;
+    const all = r.settings.peers.every((p) => g.heard.has(p.label));
+    const value: Omit<Rebuilding, 'stamp'> = { phase, heard: [...g.heard].sort() };
+    const then: Write[] = [phase === 'wait' && all ? { delete: REBUILD } : { set: REBUILD, value }, ...more];
+    return Effect.zipLeft(
+      apply(r, { when: [{ key: REBUILD, stamp: there?.stamp ?? 0 }], then }),
+      Effect.ignore(r.feed.refresh),
+    );
+  });
+
+/** Tells the holders of what has been gathered that it is durable, and forgets it here. */
+const letGo = (r: Rebuild, g: Gathered): Effect.Effect<void> =>
+  Effect.suspend(() => {
+    const told = [...g.heads].flatMap(([label, heads]) => {
+      const peer = r.settings.peers.find((p) => p.label === label);
+      return peer && heads.length > 0 ? [{ peer, ids: heads.map((h) => h.id) }] : [];
+    });
+    r.relics.drop(r.relics.all.map((x) => x.id));
+    r.witness.drop();
+    g.clear();
+    return Effect.forEach(
+      told,
+      // Who does not hear it says so in its beats, and is asked again: joining twice changes nothing.
+      ({ peer, ids }) => Effect.ignore(r.port.ask(peer, DURABLE, encodeDurable(ids))),
+      { concurrency: 'unbounded', discard: true },
+    );
+  });
+
+/**
+ * Whether nothing can have been started that the gathered views do not know of: the process that led the highest term,
+ * without a gap until the loss, is among them.
+ */
+const wholeOf = (r: Rebuild, g: Gathered): boolean => {
+  const heads = [...r.relics.all, ...[...g.heads.values()].flat()];
+  const last = Math.max(...heads.map((h) => h.term));
+  return heads.some((h) => h.led !== null && h.led === last);
+};
+
+/** The first part: until all that the reachable controllers remember is durable. */
+export const rebuild = (r: Rebuild, g: Gathered): Effect.Effect<void> =>
+  Effect.gen(function* () {
+    const began = r.clock();
+    g.heard.add(r.settings.label);
+    yield* info('rebuild begins', {
+      term: r.reign.term,
+      relics: r.relics.all.length,
+      jobs: r.cache.jobs.size,
+    });
+    for (;;) {
+      yield* gather(
+        r,
+        g,
+        r.settings.peers.filter((p) => !g.heard.has(p.label)),
+      );
+      if (!r.reigning()) return;
+      if (g.heard.size > r.settings.peers.length || r.clock() - began >= GATHER) break;
+      yield* Effect.sleep(ASK_AGAIN_MS);
+    }
+    const whole = wholeOf(r, g);
+    yield* say(r, g, 'write', []);
+    while (r.reigning()) {
+      const written = yield* writeBack(r, g, true).pipe(Effect.orElseSucceed(() => false));
+      if (!written) {
+        yield* Effect.sleep(ASK_AGAIN_MS);
+        continue;
+      }
+      const calm: Write[] = whole ? [{ set: CALM, value: r.doubt.incarnation?.id ?? '' }] : [];
+      if (!(yield* say(r, g, 'wait', calm))) continue;
+      const missing = r.settings.peers.filter((p) => !g.heard.has(p.label)).map((p) => p.label);
+      yield* info('rebuild durable', {
+        term: r.reign.term,
+        jobs: r.cache.jobs.size,
+        ms: Math.round((r.clock() - began) / 1000),
+        whole,
+        unheard: missing.join(','),
+      });
+      yield* letGo(r, g);
+      return;
+    }
+  });
+
+/**
+ * The second part, beside the turns: controllers that come back with a view are heard, and what they remember and the
+ * store does not is added. `holders`: peers that say they have relics.
+ */
+export const listen = (
+  r: Rebuild,
+  g: Gathered,
+  holders: readonly string[],
+): Effect.Effect<void, StateFailure> =>
+  Effect.gen(function* () {
+    for (const label of r.cache.rebuild?.heard ?? []) g.heard.add(label);
+    g.heard.add(r.settings.label);
+    const waits = r.cache.rebuild !== null;
+    const asked = r.settings.peers.filter(
+      (p) => (waits && !g.heard.has(p.label)) || holders.includes(p.label),
+    );
+    if (asked.length === 0 && r.relics.all.length === 0 && !(waits && g.heard.size > r.settings.peers.length))
+      return;
+    const before = g.heard.size;
+    yield* gather(r, g, asked);
+    if (g.heads.size === 0 && r.relics.all.length === 0 && g.heard.size === before) return;
+    if (!(yield* writeBack(r, g, false))) return;
+    if (waits && !(yield* say(r, g, 'wait', []))) return;
+    for (const [label, heads] of g.heads)
+      if (heads.length > 0) yield* info('view heard', { term: r.reign.term, from: label });
+    yield* letGo(r, g);
+  });
+
+/** Says of the store, once and for all of this incarnation, that it is calm or settled. */
+export const declare = (r: Rebuild, what: typeof CALM | typeof SETTLED): Effect.Effect<void> =>
+  Effect.suspend(() => {
+    const id = r.doubt.incarnation?.id;
+    if (id === undefined) return Effect.void;
+    return apply(r, { when: [], then: [{ set: what, value: id }] }).pipe(
+      Effect.zipRight(Effect.ignore(r.feed.refresh)),
+      Effect.zipRight(info(what === CALM ? 'store calm' : 'store settled', { term: r.reign.term })),
+    );
+  });
--- /dev/null
+++ b/packages/controller/src/rebuild/relics.ts
@@ -0,0 +1,67 @@
+/** Views of incarnations that are over, kept until their content is durable in the present one. */
+import type { JobCache } from '../jobs/cache.js';
+import type { Job } from '../jobs/model.js';
+import type { Claim } from './merge.js';
+
+export interface Relic {
+  readonly id: string;
+  readonly generation: number;
+  /** The view is as of this revision. */
+  readonly revision: number;
+  readonly jobs: ReadonlyMap<string, Job>;
+  readonly lastSeq: number;
+  /** The term it knew, and the one its holder was acting for without a gap when the doubt began; null: for none. */
+  readonly term: number;
+  readonly led: number | null;
+}
+
+export class Relics {
+  private kept: Relic[] = [];
+  private count = 0;
+
+  constructor(private readonly label: string) {}
+
+  get all(): readonly Relic[] {
+    return this.kept;
+  }
+
+  /** The view as it stands, as a relic. */
+  relicOf(cache: JobCache, generation: number, led: number | null): Relic {
+    return {
+      id: `${this.label}/${++this.count}`,
+      generation,
+      revision: cache.revision,
+      jobs: new Map(cache.jobs),
+      lastSeq: cache.lastSeq,
+      term: cache.term,
+      led,
+    };
+  }
+
+  keep(relic: Relic): void {
+    this.kept.push(relic);
+  }
+
+  /** Their content is durable. */
+  drop(ids: readonly string[]): void {
+    this.kept = this.kept.filter((r) => !ids.includes(r.id));
+  }
+}
+
+/** The claims of several views, by job. */
+export const claimsOf = (relics: readonly Relic[], more: readonly Claim[] = []): Map<string, Claim[]> => {
+  const out = new Map<string, Claim[]>();
+  for (const c of more) {
+    const list = out.get(c.job.spec.id);
+    if (list) list.push(c);
+    else out.set(c.job.spec.id, [c]);
+  }
+  for (const r of relics)
+    for (const [id, job] of r.jobs) {
+      const claim = { generation: r.generation, revision: r.revision, job };
+      const list = out.get(id);
+      if (list) list.push(claim);
+      else out.set(id, [claim]);
+    }
+  return out;
+};
--- /dev/null
+++ b/packages/controller/src/rebuild/verify.ts
@@ -0,0 +1,115 @@
+/**
+ * A node that has just read the store holds that against what its peers have: keys that went without a trace are missed
+ * by those only who had read them before. Until a peer has been heard, or all have been asked in vain, this node says of
+ * no job that it was never accepted.
+ */
+import { Effect } from 'effect';
+import { pack, unpack } from 'msgpackr';
+import type { Doubt } from '../doubt/doubt.js';
+import type { JobCache } from '../jobs/cache.js';
+import { activeKey, finalKey } from '../jobs/keys.js';
+import type { Feed } from '../jobs/feed.js';
+import type { Peer } from '../settings/settings.js';
+import type { StatePort } from '../state-store/port.js';
+import { digestOf, RANGES, rangeOf } from './digest.js';
+import type { ViewPort } from './exchange.js';
+
+export const CHECK = '/check';
+/** A job, its key's revision, and the last record that mentions it. */
+type Known = [id: string, stamp: number, touched: number];
+/** How long a peer may take; a node that has just started answers nobody before. */
+const TIMEOUT_MS = 800;
+/** Ids in one answer. */
+const MOST = 4000;
+
+interface Question {
+  readonly incarnation: string;
+  readonly digest: readonly number[];
+}
+
+/** Digest by range of which jobs a view has as under way, and as of which key and record. */
+const idDigest = (cache: JobCache): Uint32Array =>
+  digestOf(
+    [],
+    [...cache.jobs].map(
+      ([id, j]) => [`${id}@${j.stamp}`, { status: 'cancelled', tasks: j.touched }] as const,
+    ),
+    (key) => key.slice(0, key.indexOf('@')),
+  );
+
+export const encodeQuestion = (incarnation: string, cache: JobCache): Buffer =>
+  Buffer.from(pack([incarnation, [...idDigest(cache)]]));
+
+/**
+ * What a peer is told: the highest revision this node has seen, and the jobs that its view has under way, with their
+ * keys' revisions, in the ranges where the asker's differ. A view that is doubted by now says most.
+ */
+export const answerCheck = (
+  body: Buffer,
+  cache: JobCache,
+  incarnation: string | null,
+  revision: number,
+): Buffer | null => {
+  let q: Question;
+  try {
+    const [of, digest] = unpack(body) as [string, number[]];
+    if (typeof of !== 'string' || !Array.isArray(digest)) return null;
+    q = { incarnation: of, digest };
+  } catch {
+    return null;
+  }
+  if (incarnation === null || incarnation !== q.incarnation) return Buffer.from(pack(null));
+  const mine = idDigest(cache);
+  const differs = new Set<number>();
+  for (let r = 0; r < RANGES; r++)
+    if (mine[r * 2] !== q.digest[r * 2] || mine[r * 2 + 1] !== q.digest[r * 2 + 1]) differs.add(r);
+  const out: Known[] = [];
+  for (const [id, job] of cache.jobs)
+    if (job.stamp > 0 && differs.has(rangeOf(id)) && out.length < MOST)
+      out.push([id, job.stamp, job.touched]);
+  return Buffer.from(pack([revision, out]));
+};
+
+const decodeAnswer = (body: Buffer): [revision: number, jobs: Known[]] | null => {
+  try {
+    const v = unpack(body) as [number, Known[]] | null;
+    return Array.isArray(v) && Number.isSafeInteger(v[0]) && Array.isArray(v[1]) ? v : null;
+  } catch {
+    return null;
+  }
+};
+
+export interface Verify {
+  readonly doubt: Doubt;
+  readonly store: StatePort;
+  readonly feed: Feed;
+  readonly cache: JobCache;
+  readonly port: ViewPort;
+}
+
+/** true: the peer has compared its view with this one's; what it knows and the store does not is evidence. */
+export const verifyWith = (v: Verify, peer: Peer): Effect.Effect<boolean> =>
+  Effect.gen(function* () {
+    const { incarnation } = v.doubt;
+    if (incarnation === null) return false;
+    const body = yield* v.port.ask(peer, CHECK, encodeQuestion(incarnation.id, v.cache));
+    const theirs = decodeAnswer(body);
+    if (theirs === null) return false;
+    const [revision, jobs] = theirs;
+    // If it has seen more than the store shows from here on, the next read is evidence.
+    v.doubt.peerSaw(incarnation.id, incarnation.generation, revision);
+    yield* v.feed.refresh;
+    for (const [id, stamp, touched] of jobs) {
+      const mine = v.cache.jobs.get(id);
+      if (mine && (mine.stamp < stamp || mine.touched < touched))
+        v.doubt.raise('key lost', `${id} as ${peer.label} knows it`, true);
+      if (mine || v.cache.finals.has(id) || stamp > v.cache.revision) continue;
+      const over = yield* v.store.get(finalKey(id));
+      if (over.entry === null && !v.cache.jobs.has(id))
+        v.doubt.raise('key lost', `${activeKey(id)} is known to ${peer.label}`, true);
+    }
+    return true;
+  }).pipe(
+    Effect.timeoutTo({ duration: TIMEOUT_MS, onSuccess: (done) => done, onTimeout: () => false }),
+    Effect.orElseSucceed(() => false),
+  );
--- /dev/null
+++ b/packages/controller/src/rebuild/wards.ts
@@ -0,0 +1,57 @@
+/**
+ * Jobs that only workers name: after a loss that took every other memory of them. They are kept running and their room is
+ * held, they are never answered 404, and when their user submits them again what runs becomes the submitted job's. After
+ * a stated time they are stopped.
+ */
+import { info } from '@lilacvalve/base/log';
+import { seconds } from '@lilacvalve/base/micros';
+import { Effect } from 'effect';
+import type { Ward } from '../jobs/codec.js';
+import { activeKey, finalKey, TERM, wardKey } from '../jobs/keys.js';
+import type { Turn } from '../scheduler/turn.js';
+import { Priority } from '../state-store/budget.js';
+
+/** Kept for so long after its first mention. */
+export const WARD_FOR = seconds(600);
+/** Written at one go. */
+const MOST = 8;
+
+export const tendWards = (t: Turn): Effect.Effect<void> =>
+  Effect.gen(function* () {
+    const { book, cache } = t;
+    const fresh = [...book.unknown]
+      .filter(([id]) => !cache.wards.has(id) && !book.givenUp.has(id))
+      .slice(0, MOST);
+    const write = (
+      when: { key: string; stamp: number }[],
+      then: { set: string; value: unknown } | { delete: string },
+    ) =>
+      t.store
+        .transact([{ key: TERM, stamp: t.reign.stamp }, ...when], [then], Priority.Commit, 1200)
+        .pipe(Effect.ignore);
+    for (const [id, tasks] of fresh) {
+      const value: Ward = { since: t.dayTime(), tasks: tasks.size };
+      yield* write(
+        [
+          { key: wardKey(id), stamp: 0 },
+          { key: activeKey(id), stamp: 0 },
+          { key: finalKey(id), stamp: 0 },
+        ],
+        { set: wardKey(id), value },
+      );
+      yield* info('job named by workers only', { term: t.reign.term, job: id, tasks: tasks.size });
+    }
+    for (const [id, w] of cache.wards) {
+      const old = t.dayTime() - w.since > WARD_FOR;
+      if (!old && (book.unknown.has(id) || !book.allLapsed(t.clock()))) continue;
+      // Nobody has submitted it again, or nothing of it is left.
+      if (old) book.givenUp.add(id);
+      yield* write([{ key: wardKey(id), stamp: w.stamp }], { delete: wardKey(id) });
+      yield* info('ward given up', {
+        term: t.reign.term,
+        job: id,
+        reason: old ? 'not submitted again' : 'gone',
+      });
+    }
+    if (fresh.length > 0) yield* Effect.ignore(t.feed.refresh);
+  });
--- /dev/null
+++ b/packages/controller/src/rebuild/witness.ts
@@ -0,0 +1,124 @@
+/**
+ * What this node tells a user, it first tells the other controllers that may not have read it yet: should the state
+ * service lose it and this node end in the same moment, somebody still knows. A node that does not answer at once is not
+ * waited for; the store's commit is what makes the answer true (docs/rebuild.md).
+ */
+import { Effect } from 'effect';
+import { pack, unpack } from 'msgpackr';
+import { decodeJob } from '../jobs/codec.js';
+import { packFinal, unpackFinal } from '../jobs/finals.js';
+import type { FinalState } from '../jobs/model.js';
+import type { Peer } from '../settings/settings.js';
+import type { ViewPort } from './exchange.js';
+import type { Claim } from './merge.js';
+
+export const WITNESS = '/witness';
+/** A peer on the same network answers in a few milliseconds. */
+const WAIT_MS = 120;
+/** More than come in between two reads of a node. */
+const KEPT = 2000;
+
+/** One thing told: a job as accepted or cancelled (its key's value), or a final state. As of `revision`. */
+export interface Fact {
+  readonly id: string;
+  readonly revision: number;
+  readonly generation: number;
+  readonly incarnation: string;
+  readonly value: { readonly stored: unknown } | { readonly final: FinalState };
+}
+
+type Wire = [
+  id: string,
+  revision: number,
+  generation: number,
+  incarnation: string,
+  final: number | null,
+  stored: unknown,
+];
+
+export const encodeFact = (f: Fact): Buffer => {
+  const wire: Wire =
+    'final' in f.value
+      ? [f.id, f.revision, f.generation, f.incarnation, packFinal(f.value.final), null]
+      : [f.id, f.revision, f.generation, f.incarnation, null, f.value.stored];
+  return Buffer.from(pack(wire));
+};
+export const decodeFact = (body: Buffer): Fact | null => {
+  try {
+    const [id, revision, generation, incarnation, final, stored] = unpack(body) as Wire;
+    if (typeof id !== 'string' || typeof incarnation !== 'string') return null;
+    if (!Number.isSafeInteger(revision) || !Number.isSafeInteger(generation)) return null;
+    if (final !== null && !Number.isSafeInteger(final)) return null;
+    if (final === null) decodeJob(id, stored, 0);
+    return {
+      id,
+      revision,
+      generation,
+      incarnation,
+      value: final === null ? { stored } : { final: unpackFinal(final) },
+    };
+  } catch {
+    return null;
+  }
+};
+
+export class Witness {
+  private readonly facts = new Map<string, Fact>();
+
+  constructor(
+    private readonly port: ViewPort,
+    /** Reachable peers whose own reads are not known to be as new as `revision`. */
+    private readonly behind: (revision: number) => readonly Peer[],
+  ) {}
+
+  /** Another node tells this one. */
+  note(f: Fact): void {
+    this.facts.delete(f.id);
+    this.facts.set(f.id, f);
+    if (this.facts.size <= KEPT) return;
+    for (const old of this.facts.keys()) {
+      this.facts.delete(old);
+      break;
+    }
+  }
+
+  /** This node's own view of `incarnation` is as new as `revision`: it includes what was noted up to there. */
+  covered(incarnation: string, revision: number): void {
+    for (const [id, f] of this.facts)
+      if (f.incarnation === incarnation && f.revision <= revision) this.facts.delete(id);
+  }
+
+  /** Completes once the peers know it, or have had their time. */
+  tell(f: Fact): Effect.Effect<void> {
+    return Effect.suspend(() => {
+      // This node's own view is as of its last read, and that may have been before.
+      this.note(f);
+      const peers = this.behind(f.revision);
+      if (peers.length === 0) return Effect.void;
+      const body = encodeFact(f);
+      return Effect.forEach(peers, (p) => Effect.ignore(this.port.ask(p, WITNESS, body)), {
+        concurrency: 'unbounded',
+        discard: true,
+      }).pipe(Effect.timeoutOption(WAIT_MS), Effect.asVoid);
+    });
+  }
+
+  get size(): number {
+    return this.facts.size;
+  }
+
+  /** What is noted and not covered, as a view has it. */
+  claims(): Claim[] {
+    const out: Claim[] = [];
+    for (const f of this.facts.values())
+      if ('stored' in f.value)
+        out.push({ generation: f.generation, revision: -1, job: decodeJob(f.id, f.value.stored, 0) });
+    return out;
+  }
+  *finals(): Generator<readonly [string, FinalState]> {
+    for (const f of this.facts.values()) if ('final' in f.value) yield [f.id, f.value.final];
+  }
+  drop(): void {
+    this.facts.clear();
+  }
+}
--- a/packages/controller/src/scheduler/cycle.ts
+++ b/packages/controller/src/scheduler/cycle.ts
@@ -216,7 +216,7 @@
     }
     let start = starts.get(job);
     if (choice.free && !start) {
-      start = { job, attempt: job.attempt + 1, on: new Map() };
+      start = { job, attempt: Math.max(job.attempt, input.attempts ?? 0) + 1, on: new Map() };
       starts.set(job, start);
     }
     let zones = zonesHeld.get(job);
--- a/packages/controller/src/scheduler/duty.ts
+++ b/packages/controller/src/scheduler/duty.ts
@@ -50,11 +50,19 @@
     for (const job of t.book.suspects(at)) yield* info('job looks broken', { term: t.reign.term, job });
     for (const { machine, faulty } of t.book.judge(at))
       yield* info(faulty ? 'machine blamed' : 'blame taken back', { term: t.reign.term, machine });
+    for (const job of t.book.abandon(at))
+      yield* info('tasks of before a loss stopped', { term: t.reign.term, job });
     t.book.dirty = false;
     t.book.recalls(at);
     for (const job of t.cache.jobs.values()) {
       if (job.placed.size > 0 && (job.withdrawn || t.book.isBroken(job))) t.book.clearAway(job);
     }
+    if (!t.cache.calm && !t.book.allLapsed(at)) {
+      // After a loss somebody may be running what nobody here knows of: until all have shown themselves or their
+      // leases have lapsed, only what ends and what is found running is recorded.
+      yield* commit(t, []);
+      return;
+    }
     const began = t.clock();
     const queued = queuedOf(t, at);
     const nodes = nodesOf(t, at);
@@ -72,6 +80,7 @@
       companions: view.companions,
       surplus: view.surplus,
       avoid: (job) => t.book.avoid(job),
+      attempts: t.cache.floor,
     });
     view.result = result;
     view.cost = t.clock() - began;
--- a/packages/controller/src/scheduler/model.ts
+++ b/packages/controller/src/scheduler/model.ts
@@ -65,6 +65,8 @@
   readonly claims: ReadonlyMap<string, number>;
   /** Machines a job should avoid, because it failed there; null: none. */
   readonly avoid: (job: Job) => ReadonlySet<string> | null;
+  /** Attempts up to this one may have been used before a loss; none if left out. */
+  readonly attempts?: number;
 }
 
 export interface Companion {
--- a/packages/controller/src/scheduler/records.ts
+++ b/packages/controller/src/scheduler/records.ts
@@ -5,7 +5,7 @@
 import { Effect, Random } from 'effect';
 import { debug, info } from '@lilacvalve/base/log';
 import { encodeChange, encodeFinal, encodeJob, encodeRecord } from '../jobs/codec.js';
-import { activeKey, finalKey, recordKey, TERM } from '../jobs/keys.js';
+import { ACTIVE, activeKey, finalKey, RECORD, recordKey, TERM } from '../jobs/keys.js';
 import { finalState, type Job, type JobChange } from '../jobs/model.js';
 import { Priority } from '../state-store/budget.js';
 import type { Condition, Outcome, Write } from '../state-store/client.js';
@@ -33,7 +33,8 @@
   let bytes = 2;
   let whole = true;
   const limit = t.settings.state.valueBytes * 0.85;
-  const mostConditions = t.settings.state.txnOps * 4 - 4;
+  // Beside them stand the term, the record's own key, the one before it, and the incarnation.
+  const mostConditions = t.settings.state.txnOps * 4 - 6;
   const put = (id: string, c: JobChange): boolean => {
     const size = JSON.stringify(encodeChange(c)).length + id.length + 6;
     if (bytes + size > limit) return (whole = false);
@@ -49,8 +50,13 @@
   }
   // The starts count on the room of every end: with one of these left out, they wait for the next record.
   if (!whole) return { jobs, when, whole };
-  for (const s of starts) {
+  // What runs already from before a loss is recorded before anything is started anew.
+  for (const s of [...t.book.adoptions(), ...starts]) {
     const { id } = s.job.spec;
+    if (jobs.get(id)?.start !== undefined) {
+      whole = false;
+      continue;
+    }
     if (when.length >= mostConditions) {
       whole = false;
       continue;
@@ -98,15 +104,26 @@
     }
   });
 
+/** A condition on this key failed, and yet a newer read shows it as it was when the condition was made. */
+const stillKnown = (t: Turn, key: string, when: readonly Condition[]): boolean => {
+  const wanted = when.find((c) => c.key === key)?.stamp;
+  if (wanted === undefined || wanted === 0) return false;
+  if (key.startsWith(ACTIVE)) return t.cache.jobs.get(key.slice(ACTIVE.length))?.stamp === wanted;
+  return key.startsWith(RECORD) && t.cache.tail.get(Number(key.slice(RECORD.length)))?.stamp === wanted;
+};
+
 export const commit = (t: Turn, starts: readonly Start[]) =>
   Effect.gen(function* () {
     const draft = draftOf(t, starts);
     if (draft.jobs.size === 0) return true;
     const seq = t.cache.lastSeq + 1;
     const key = recordKey(seq);
+    // Each record hangs on the one before it: one that a loss has taken is missed before another is written.
+    const before = t.cache.tail.get(seq - 1);
+    const chain = before && before.stamp > 0 ? [{ key: recordKey(seq - 1), stamp: before.stamp }] : [];
     const outcome = yield* settle(
       t,
-      [{ key: TERM, stamp: t.reign.stamp }, { key, stamp: 0 }, ...draft.when],
+      [{ key: TERM, stamp: t.reign.stamp }, { key, stamp: 0 }, ...chain, ...draft.when],
       [{ set: key, value: encodeRecord(draft.jobs) }],
       key,
     );
@@ -114,6 +131,8 @@
     if (!outcome.ok) {
       yield* Effect.ignore(t.feed.refresh);
       t.book.dirty = true;
+      const lost = outcome.failed.find((k) => stillKnown(t, k, [...chain, ...draft.when]));
+      if (lost !== undefined) t.doubt.raise('key lost', `${lost} is not as it was`);
       yield* debug('record refused', { term: t.reign.term, seq, failed: outcome.failed.join(',') });
       return false;
     }
@@ -136,7 +155,9 @@
     const over: Job[] = [];
     for (const job of t.cache.jobs.values()) {
       if (finalState(job) !== null && !t.book.ends.has(job.spec.id)) over.push(job);
-      if (over.length * 2 + 2 > Math.min(t.settings.state.txnOps, UPKEEP_OPS)) break;
+      // Two changes each, and a third where a pack lists it.
+      const each = t.cache.packOf.size > 0 ? 3 : 2;
+      if ((over.length + 1) * each > Math.min(t.settings.state.txnOps, each === 3 ? 12 : UPKEEP_OPS)) break;
     }
     if (over.length === 0) return false;
     const finals = over.map((job) => ({ job, id: job.spec.id, stamp: job.stamp, final: finalState(job)! }));
@@ -146,7 +167,12 @@
       when.push({ key: activeKey(f.id), stamp: f.stamp });
       then.push({ delete: activeKey(f.id) }, { set: finalKey(f.id), value: encodeFinal(f.final) });
     }
-    const outcome = yield* settle(t, when, then, activeKey(finals[0]!.id), Priority.Upkeep);
+    const packs = t.cache.unpacking(finals.map((f) => f.id));
+    when.push(...packs.when);
+    then.push(...packs.then);
+    const first = finals[0]!;
+    const probe = first.stamp > 0 ? activeKey(first.id) : (t.cache.packOf.get(first.id) ?? '');
+    const outcome = yield* settle(t, when, then, probe, Priority.Upkeep);
     if (outcome === null) return true;
     // Applied or not, the watch's view decides what became of each job.
     yield* Effect.ignore(t.feed.refresh);
--- a/packages/controller/src/scheduler/turn.ts
+++ b/packages/controller/src/scheduler/turn.ts
@@ -1,6 +1,7 @@
 /** What one reign's duties share: the ports, the book, and the questions a decision must ask. */
 import type { Micros } from '@lilacvalve/base/micros';
 import type { FleetNews, MachineType } from '../fleet/model.js';
+import type { Doubt } from '../doubt/doubt.js';
 import type { JobCache } from '../jobs/cache.js';
 import type { Feed } from '../jobs/feed.js';
 import type { Reign } from '../leadership/leadership.js';
@@ -15,6 +16,7 @@
   readonly feed: Feed;
   readonly cache: JobCache;
   readonly book: Book;
+  readonly doubt: Doubt;
   readonly reign: Reign;
   readonly acting: () => boolean;
   /** Not deposed, though perhaps without right for the moment. */
@@ -22,8 +24,8 @@
   /** Enough nodes know this term that no older leader can go on. */
   readonly acknowledged: () => boolean;
   readonly types: () => readonly MachineType[];
-  /** What the fleet's duty tells the followers. */
-  readonly fleet: { news: FleetNews };
+  /** What the fleet's duty tells the followers, and whether it has read the cloud's list in this reign. */
+  readonly fleet: { news: FleetNews; listed: boolean };
   readonly clock: () => Micros;
   /** Time of day: deadlines count from a time of day. */
   readonly dayTime: () => Micros;
--- a/packages/controller/src/scheduler/views.ts
+++ b/packages/controller/src/scheduler/views.ts
@@ -116,6 +116,8 @@
     const tasks: number[] = [];
     const broken = t.book.looksBroken(job, at);
     const gang = job.spec.shape === 'gang';
+    // Something of it runs that no record knows of: it is taken up or seen to end before more of it is started.
+    if (t.book.strays.has(job.spec.id)) continue;
     if (gang || broken ? on > 0 : on + job.done.size >= job.spec.tasks) continue;
     // Of what looks broken one task shows as much as all.
     const room = gang ? job.spec.tasks : broken ? 1 : most - job.placed.size;
--- a/packages/controller/src/settings/settings.ts
+++ b/packages/controller/src/settings/settings.ts
@@ -1,8 +1,8 @@
 /** The platform's settings file: TOML checked by Schema. Unknown fields are ignored. */
 import { readFileSync } from 'node:fs';
-import { Either, ParseResult, Schema } from 'effect';
-import { parse } from 'smol-toml';
+import { Either, Schema } from 'effect';
 import { type Micros, millis, seconds } from '@lilacvalve/base/micros';
+import { checkedToml } from '@lilacvalve/base/toml';
 
 const Address = Schema.String.pipe(
   Schema.pattern(/^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$/, { message: () => 'must be IPv4:port' }),
@@ -116,23 +116,12 @@
   readonly limits: { readonly cores: number; readonly memoryMb: number; readonly maxConnections: number };
 }
 
-const decodeFile = Schema.decodeUnknownEither(File, { onExcessProperty: 'ignore', errors: 'first' });
+const readFile = checkedToml(File);
 
 /** Either a checked configuration, or one line that names the field and the reason. */
 export const parseSettings = (text: string): Either.Either<Settings, string> => {
-  let raw: unknown;
-  try {
-    raw = parse(text);
-  } catch (e) {
-    return Either.left(`not TOML: ${(e as Error).message.split('\n')[0]}`);
-  }
-  const decoded = decodeFile(raw);
-  if (Either.isLeft(decoded)) {
-    const issue = ParseResult.ArrayFormatter.formatErrorSync(decoded.left)[0];
-    return Either.left(
-      `${issue?.path.map(String).join('.') || 'file'}: ${issue?.message.replace(/\s+/g, ' ') ?? 'invalid'}`,
-    );
-  }
+  const decoded = readFile(text);
+  if (Either.isLeft(decoded)) return Either.left(decoded.left);
   const f = decoded.right;
   const w = f.cluster.workers;
   return Either.right({
--- a/packages/controller/src/state-store/client.ts
+++ b/packages/controller/src/state-store/client.ts
@@ -30,6 +30,16 @@
   readonly value: unknown;
   readonly stamp: number;
 }
+/** One key's value; where it does not exist, as of which revision (null: not said). */
+export interface Found {
+  readonly entry: Entry | null;
+  readonly revision: number | null;
+}
+export interface Page {
+  readonly entries: readonly Entry[];
+  readonly more: boolean;
+  readonly revision: number;
+}
 export interface Change {
   readonly key: string;
   /** undefined: the key was deleted. */
@@ -108,13 +118,17 @@
     );
   }
 
-  get(key: string, timeoutMs = 1000): Effect.Effect<Entry | null, StateFailure> {
+  get(key: string, timeoutMs = 1000): Effect.Effect<Found, StateFailure> {
     return this.call('GET', `/kv/${key}`, null, Priority.Read, timeoutMs).pipe(
-      Effect.flatMap((reply): Effect.Effect<Entry | null, StateFailure> => {
-        if (reply.status === 404) return Effect.succeed(null);
-        if (reply.status !== 200) return this.refused(reply);
+      Effect.flatMap((reply): Effect.Effect<Found, StateFailure> => {
         const v = parse(reply);
-        return Effect.succeed({ key, value: v.value, stamp: safe(v.stamp) });
+        if (reply.status === 404)
+          return Effect.succeed({
+            entry: null,
+            revision: v.ledgerRev === undefined ? null : safe(v.ledgerRev),
+          });
+        if (reply.status !== 200) return this.refused(reply);
+        return Effect.succeed({ entry: { key, value: v.value, stamp: safe(v.stamp) }, revision: null });
       }),
     );
   }
@@ -123,10 +137,11 @@
     prefix: string,
     after: string | null,
     limit: number,
-  ): Effect.Effect<{ entries: Entry[]; more: boolean; revision: number }, StateFailure> {
+    priority: Priority = Priority.Read,
+  ): Effect.Effect<Page, StateFailure> {
     const path = `/kv?prefix=${encodeURIComponent(prefix)}${after === null ? '' : `&after=${encodeURIComponent(after)}`}&limit=${limit}`;
-    return this.call('GET', path, null, Priority.Read, 3000).pipe(
-      Effect.flatMap((reply) => {
+    return this.call('GET', path, null, priority, 3000).pipe(
+      Effect.flatMap((reply): Effect.Effect<Page, StateFailure> => {
         if (reply.status !== 200) return this.refused(reply);
         const v = parse(reply);
         const entries = ((v.entries ?? []) as { k: string; value: unknown; stamp: number }[]).map((e) => ({
--- a/packages/controller/src/workers/book.ts
+++ b/packages/controller/src/workers/book.ts
@@ -10,6 +10,7 @@
 import { CONFIRM } from '../leadership/peers.js';
 import type { Settings } from '../settings/settings.js';
 import { Blame } from './blame.js';
+import type { Start } from '../scheduler/model.js';
 import type { Order, Report, ReportedTask } from './codec.js';
 
 export interface Machine {
@@ -82,6 +83,14 @@
   urgent: { machine: Machine; order: Order }[] = [];
   /** Until when an older leader may have renewed leases; null: not known yet. */
   private olderUntil: Micros | null = null;
+  /** Jobs of which tasks run that no record knows of, from before a loss: by task, where and as which attempt. */
+  readonly strays = new Map<string, Map<number, Placement>>();
+  /** Jobs that workers name and nobody knows, with how many tasks of them. */
+  readonly unknown = new Map<string, Set<string>>();
+  /** Of these, those that have been kept for long enough. */
+  readonly givenUp = new Set<string>();
+  /** Jobs whose strays can't be taken up. */
+  private readonly abandoned = new Set<string>();
   /** Something a cycle should look at has changed. */
   dirty = true;
 
@@ -166,6 +175,8 @@
     return (
       m.recallAt === null &&
       !p.job.withdrawn &&
+      // Of a generation before: it may have ended and been forgotten, and is never started again.
+      p.attempt > this.cache.floor &&
       this.stopping.get(key)?.attempt !== p.attempt &&
       !this.broken(p.job)
     );
@@ -204,10 +215,14 @@
     const on = this.cache.byMachine.get(m.id);
     const strangers = m.strangers;
     m.strangers = false;
+    this.forgetStrays(m.id);
     for (const t of r.tasks) {
       const p = on?.get(t.key);
       if (p && p.attempt === t.attempt) this.observe(m, p, t, at);
-      else if (t.status !== 'exited') m.strangers = true;
+      else {
+        if (t.attempt <= this.cache.floor) this.stray(m, t);
+        if (t.status !== 'exited') m.strangers = true;
+      }
     }
     if (strangers !== m.strangers) this.dirty = true;
     for (const [key, p] of on ?? []) {
@@ -221,6 +236,104 @@
     return m;
   }
 
+  /** A task from before a loss that no record knows of. */
+  private stray(m: Machine, t: ReportedTask): void {
+    const slash = t.key.indexOf('/');
+    const id = t.key.slice(0, slash);
+    const task = Number(t.key.slice(slash + 1));
+    const job = this.cache.jobs.get(id);
+    if (job === undefined) {
+      if ((t.status === 'exited' && t.cause !== 'done') || this.cache.finals.has(id)) return;
+      const on = this.unknown.get(id);
+      if (on) on.add(`${task}@${m.id}`);
+      else this.unknown.set(id, new Set([`${task}@${m.id}`]));
+      return;
+    }
+    if (job.withdrawn || job.done.has(task) || task >= job.spec.tasks) return;
+    // Its result is kept there: it completed, whichever attempt that was.
+    if (t.status === 'exited') {
+      if (t.cause === 'done' && !this.isEnding(id, task)) this.end(job, task, 'done');
+      return;
+    }
+    let tasks = this.strays.get(id);
+    if (!tasks) this.strays.set(id, (tasks = new Map()));
+    tasks.set(task, { task, attempt: t.attempt, machine: m.id });
+    this.dirty = true;
+  }
+
+  private forgetStrays(machine: string): void {
+    for (const [id, tasks] of this.strays) {
+      for (const [task, p] of tasks) if (p.machine === machine) tasks.delete(task);
+      if (tasks.size === 0) this.strays.delete(id);
+    }
+    for (const [id, on] of this.unknown) {
+      for (const t of on) if (t.endsWith(`@${machine}`)) on.delete(t);
+      if (on.size === 0) this.unknown.delete(id);
+    }
+  }
+
+  /** Whether a reported task that no record knows of is left alone for now. */
+  private kept(m: Machine, t: ReportedTask): boolean {
+    if (t.attempt > this.cache.floor) return false;
+    const slash = t.key.indexOf('/');
+    const id = t.key.slice(0, slash);
+    if (this.unknown.get(id)?.has(`${t.key.slice(slash + 1)}@${m.id}`) === true) return !this.givenUp.has(id);
+    const task = Number(t.key.slice(slash + 1));
+    if (t.status === 'exited') return t.cause === 'done' && this.ends.get(id)?.done.has(task) === true;
+    return (
+      this.strays.get(id)?.get(task)?.machine === m.id && !this.abandoned.has(id) && !this.isEnding(id, task)
+    );
+  }
+
+  /**
+   * Starts that have happened already, as a record takes them up: what runs from before a loss and has no other place.
+   * A gang is taken up whole; one that is not whole can't be, and stops once all leases of before have lapsed.
+   */
+  adoptions(): Start[] {
+    const out: Start[] = [];
+    for (const [id, tasks] of this.strays) {
+      const job = this.cache.jobs.get(id);
+      if (job === undefined) continue;
+      const free = [...tasks.values()].filter((p) => !job.placed.has(p.task) && !this.isEnding(id, p.task));
+      const attempt = Math.max(...free.map((p) => p.attempt));
+      const taken = free.filter((p) => p.attempt === attempt);
+      if (taken.length === 0) continue;
+      if (job.spec.shape === 'gang') {
+        const held = [...job.placed.values()].filter((p) => p.attempt === attempt).length;
+        if (held + taken.length < job.spec.tasks) continue;
+      }
+      const on = new Map<string, number[]>();
+      for (const p of taken) {
+        const list = on.get(p.machine);
+        if (list) list.push(p.task);
+        else on.set(p.machine, [p.task]);
+      }
+      out.push({ job, attempt, on });
+    }
+    return out;
+  }
+
+  /** Whatever an earlier leader knew of has shown itself to this one, or its lease has surely lapsed. */
+  allLapsed(at: Micros): boolean {
+    return at > this.leaseEnd(undefined);
+  }
+
+  /** Every machine that was there before this reign has shown itself to it. */
+  accounted(): boolean {
+    for (const m of this.machines.values())
+      if (!m.confirmed && m.listed !== 'failed' && m.since < this.began - 1e6) return false;
+    return true;
+  }
+
+  /** Jobs whose strays can't be taken up (a gang of which a part is gone), once nothing more of them can appear. */
+  abandon(at: Micros): string[] {
+    if (this.strays.size === 0 || !this.allLapsed(at)) return [];
+    const adopted = new Set(this.adoptions().map((s) => s.job.spec.id));
+    const out = [...this.strays.keys()].filter((id) => !adopted.has(id) && !this.abandoned.has(id));
+    for (const id of out) this.abandoned.add(id);
+    return out;
+  }
+
   /** What the answer to the machine's latest report should say. */
   orders(m: Machine): Order[] {
     const on = this.cache.byMachine.get(m.id);
@@ -228,6 +341,7 @@
     for (const t of m.tasks.values()) {
       const p = on?.get(t.key);
       if (!p || p.attempt !== t.attempt) {
+        if (this.kept(m, t)) continue;
         // Unknown to the record, or of an attempt that is over: a completion is durable by now, so it may go.
         if (t.status === 'exited') orders.push({ op: 'forget', key: t.key, attempt: t.attempt });
         else orders.push({ op: 'stop', key: t.key, attempt: t.attempt, grace: ZERO });
@@ -371,6 +485,7 @@
       if (m.reported && at > this.leaseEnd(m)) {
         m.confirmed = false;
         m.seen.clear();
+        this.forgetStrays(m.id);
       }
     }
     return out;
@@ -382,6 +497,7 @@
       if (!this.isEnding(p.job.spec.id, p.task)) this.gone(p.job, p.task);
     }
     this.machines.delete(id);
+    this.forgetStrays(id);
     this.blame.forget(id);
     this.deleted.add(id);
     this.dirty = true;
--- a/packages/controller/src/workers/duty.ts
+++ b/packages/controller/src/workers/duty.ts
@@ -10,7 +10,16 @@
 import type { Admission } from '../overload/admission.js';
 import type { Settings } from '../settings/settings.js';
 import type { Book } from './book.js';
-import { type Order, readReport, type Receive, REPORTS, senderOf, writeOrders } from './codec.js';
+import {
+  type Order,
+  readReport,
+  type Receive,
+  type Report,
+  REPORTS,
+  senderOf,
+  writeOrders,
+} from './codec.js';
+import type { Doubt } from '../doubt/doubt.js';
 import { answerOf } from './relay.js';
 
 export interface WorkerPort {
@@ -43,6 +52,11 @@
   /** Calls back when the next turn has run, or soon after. */
   readonly nextTurn: (then: () => void) => void;
 }
+/** Before a rebuild is durable: leases are renewed, and what users cancelled is stopped; nothing else is ordered. */
+export interface RenewalDesk {
+  readonly term: number;
+  readonly cancelled: (job: string) => boolean;
+}
 
 interface Waiter {
   readonly since: Micros;
@@ -99,20 +113,44 @@
 
 const NEW_TERM = seconds(3);
 
+/** The answer to a report during a rebuild. */
+const renewal = (r: Report | null, d: RenewalDesk): string | null => {
+  if (r === null) return null;
+  const orders = r.tasks
+    .filter((t) => t.status !== 'exited' && d.cancelled(t.key.slice(0, t.key.indexOf('/'))))
+    .map((t): Order => ({ op: 'stop', key: t.key, attempt: t.attempt, grace: 0 as Micros }));
+  return orders.length === 0 ? '' : writeOrders(d.term, orders);
+};
+
 /** Takes reports in, wherever they came to, and says what their answers are. */
 export const receiver =
-  (leadership: Leadership, desk: () => Desk | null, clock: () => Micros, contacts: Contacts): Receive =>
+  (
+    leadership: Leadership,
+    desk: () => Desk | RenewalDesk | null,
+    clock: () => Micros,
+    contacts: Contacts,
+    doubt: Pick<Doubt, 'heardTerm' | 'active'>,
+  ): Receive =>
   (reports, answer) => {
     const at = clock();
     for (const r of reports) {
       if (r === null) continue;
       contacts.note(r.machine, at);
       leadership.depose(r.token);
+      if (r.token > 0) doubt.heardTerm(r.token, r.machine);
     }
     const reign = leadership.answering();
     const d = desk();
-    if (reign === null || d === null || d.book.term !== reign.term) return answer(null);
+    if (reign === null || d === null) return answer(null);
+    if (!('book' in d)) {
+      if (d.term !== reign.term) return answer(null);
+      return answer({ term: reign.term, bodies: reports.map((r) => renewal(r, d)) });
+    }
+    if (d.book.term !== reign.term) return answer(null);
     const { book } = d;
+    // What was durable may not be any more: only the lease is renewed until that is known.
+    if (doubt.active)
+      return answer({ term: reign.term, bodies: reports.map((r) => (r === null ? null : '')) });
     const machines = reports.map((r) => (r === null ? null : book.report(r, at)));
     const finish = (): void => {
       const still = leadership.answering();
--- /dev/null
+++ b/packages/controller/test/doubt.test.ts
@@ -0,0 +1,150 @@
+/** Noticing a loss: what counts as evidence, and what looks at a doubted store say of it. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import type { Micros } from '@lilacvalve/base/micros';
+import { audit, keysOf } from '../src/doubt/audit.js';
+import { Doubt } from '../src/doubt/doubt.js';
+import { judge } from '../src/doubt/judge.js';
+import { floorOf, generationOf, type Incarnation, type Known, type Probe } from '../src/doubt/model.js';
+import { JobCache } from '../src/jobs/cache.js';
+import { encodeJob, encodePack } from '../src/jobs/codec.js';
+import { ACTIVE, activeKey, INCARNATION, PACK, RECORD, recordKey } from '../src/jobs/keys.js';
+import { job } from './support/job.js';
+
+const wire = (v: unknown): unknown => JSON.parse(JSON.stringify(v));
+const at = (n: number): Micros => n as Micros;
+const first: Incarnation = { id: 'one', generation: 0, stamp: 3 };
+const known: Known = { incarnation: first, generation: 0, revision: 100, term: 4 };
+const probe = (over: Partial<Probe> = {}): Probe => ({
+  incarnations: [first],
+  revision: 100,
+  term: 4,
+  ...over,
+});
+
+test('a store that shows what was known, or more, is restored; one that shows less is lost once looks agree', () => {
+  assert.equal(judge(known, [probe()], 3), 'restored');
+  assert.equal(judge(known, [probe({ revision: 180, term: 5 })], 3), 'restored');
+  const empty = probe({ incarnations: [], revision: 0, term: 0 });
+  assert.equal(judge(known, [empty, empty], 3), 'again');
+  assert.equal(judge(known, [empty, empty, empty], 3), 'lost');
+  // The key is there, at another revision: it was written anew.
+  const rewritten = probe({ incarnations: [{ ...first, stamp: 9 }] });
+  assert.equal(judge(known, [rewritten, rewritten, rewritten], 3), 'lost');
+  const deposed = probe({ term: 3 });
+  assert.equal(judge(known, [deposed, deposed, deposed], 3), 'lost');
+});
+
+// Two copies that answer in turn, one of them older, are no loss: a rebuild would fork what the newer one has.
+test('looks that go to and fro never agree on a loss', () => {
+  const older = probe({ revision: 60 });
+  const looks: Probe[] = [];
+  for (let i = 0; i < 40; i++) {
+    looks.push(i % 2 === 0 ? older : probe());
+    assert.notEqual(judge(known, looks, 3), 'lost');
+  }
+  const back = [probe({ revision: 70 }), probe({ revision: 60 })];
+  assert.equal(judge(known, [...back, ...back, ...back], 3), 'again');
+});
+
+test('a newer incarnation has been rebuilt by somebody; an older or an equal one is itself a loss', () => {
+  const rebuilt = probe({ incarnations: [{ id: 'two', generation: 1, stamp: 70 }], revision: 75, term: 9e9 });
+  assert.equal(judge(known, [rebuilt], 3), 'moved');
+  const anew = probe({ incarnations: [{ id: 'fresh', generation: 0, stamp: 1 }], revision: 2, term: 1 });
+  assert.equal(judge(known, [anew, anew, anew], 3), 'lost');
+  // A node without a view takes what is there, unless somebody has said that it knows a newer one.
+  const none: Known = { incarnation: null, generation: -1, revision: -1, term: 0 };
+  assert.equal(judge(none, [anew], 3), 'moved');
+  assert.equal(judge({ ...none, generation: 2 }, [rebuilt, rebuilt, rebuilt], 3), 'lost');
+});
+
+test('answers are held against what was known when they were asked for', () => {
+  const doubt = new Doubt(
+    () => at(5),
+    () => 7,
+  );
+  doubt.readIncarnation(first);
+  assert.ok(doubt.answered(50, doubt.floor()));
+  // Asked for before that one, answered after it: older, and yet sound.
+  assert.ok(doubt.answered(48, 40));
+  assert.equal(doubt.active, false);
+  assert.ok(!doubt.answered(49, doubt.floor()));
+  assert.deepEqual([doubt.standing!.evidence[0]!.kind, doubt.standing!.led], ['revision went back', 7]);
+});
+
+test('a term named before a read began must be in what it shows, and a peer may know more than this node', () => {
+  let now = 10;
+  const doubt = new Doubt(
+    () => at(now),
+    () => null,
+  );
+  doubt.readIncarnation(first);
+  doubt.heardTerm(6, 'vm-1');
+  doubt.readTerm(5, at(9));
+  assert.equal(doubt.active, false, 'the read was on its way when the term was named');
+  doubt.readTerm(6, at(20));
+  assert.equal(doubt.active, false);
+  doubt.readTerm(5, at(20));
+  assert.equal(doubt.standing!.evidence[0]!.kind, 'term went back');
+  doubt.over();
+  doubt.peerSaw('one', 0, 90);
+  assert.equal(doubt.floor(), 90);
+  doubt.peerSaw('another', 0, 500);
+  assert.equal(doubt.floor(), 90, 'revisions of another incarnation compare with nothing');
+  now = 30;
+  doubt.peerSaw('two', 1, 4);
+  assert.equal(doubt.standing!.evidence[0]!.kind, 'other incarnation');
+});
+
+// Attempts and terms that were used and forgotten must never be used again.
+test('terms and attempts of a generation lie above all of those before it', () => {
+  for (const n of [1, 5000, 2 ** 32 - 1]) {
+    assert.equal(generationOf(n), 0);
+    assert.ok(floorOf(1) > n);
+  }
+  assert.equal(generationOf(floorOf(3) + 17), 3);
+  assert.ok(Number.isSafeInteger(floorOf(100_000) + 2 ** 32));
+});
+
+test('a key that is gone without a change is found, one that is written or deleted meanwhile is not missed', () => {
+  const cache = new JobCache();
+  for (const [i, stamp] of [
+    [1, 5],
+    [2, 6],
+    [3, 40],
+  ] as const)
+    cache.apply({ key: activeKey(`job-${i}`), value: wire(encodeJob(job(`job-${i}`), 0)), stamp });
+  cache.apply({ key: recordKey(1), value: {}, stamp: 7 });
+  cache.apply({ key: `${PACK}a`, value: wire(encodePack([job('job-9', { tasks: 2 })])), stamp: 8 });
+  assert.deepEqual(keysOf(cache, RECORD), [[recordKey(1), 7]]);
+  assert.deepEqual(keysOf(cache, PACK), [[`${PACK}a`, 8]]);
+  const expected = keysOf(cache, ACTIVE);
+  assert.deepEqual(
+    expected.map(([k]) => k),
+    [activeKey('job-1'), activeKey('job-2'), activeKey('job-3')],
+    'a job that only a pack lists has no key of its own',
+  );
+  const entry = (i: number, stamp: number) => ({ key: activeKey(`job-${i}`), value: null, stamp });
+  const page = (entries: ReturnType<typeof entry>[], more = false) => ({ entries, more, revision: 30 });
+  assert.equal(audit(page([entry(1, 5), entry(2, 6)]), expected, null, 45), null, 'job-3 was written later');
+  assert.match(audit(page([entry(2, 6)]), expected, null, 45)!, /job-1 is missing/);
+  assert.match(audit(page([entry(1, 5), entry(2, 4)]), expected, null, 45)!, /job-2 is as of 4, was of 6/);
+  assert.equal(audit(page([entry(2, 6)]), expected, null, 29), null, 'the view is older than the page');
+  assert.equal(audit(page([entry(1, 5)], true), expected, null, 45), null, 'job-2 is on the next page');
+  assert.match(audit(page([]), expected, activeKey('job-1'), 45)!, /job-2 is missing/);
+});
+
+test('the view keeps what it had of a value that can no longer be read', () => {
+  const cache = new JobCache();
+  const key = activeKey('job-1');
+  cache.apply({ key, value: wire(encodeJob(job('job-1', { tasks: 4 }), 0)), stamp: 5 });
+  for (const bad of [null, 'x', 7, { c: 7 }, { c: 'x', o: 'y' }]) {
+    cache.apply({ key, value: bad, stamp: 6 });
+    assert.equal(cache.jobs.get('job-1')!.spec.tasks, 4);
+    assert.equal(cache.damaged.get(key), 6);
+  }
+  cache.apply({ key, value: wire(encodeJob(job('job-1', { tasks: 4 }), 0)), stamp: 7 });
+  assert.equal(cache.damaged.size, 0);
+  cache.apply({ key: `${INCARNATION}x`, value: { g: 2, by: 'n0' }, stamp: 9 });
+  assert.equal(cache.floor, floorOf(2));
+});
--- a/packages/controller/test/overload.test.ts
+++ b/packages/controller/test/overload.test.ts
@@ -3,7 +3,7 @@
 import { test } from 'node:test';
 import fc from 'fast-check';
 import { type Micros, millis, seconds } from '@lilacvalve/base/micros';
-import { turnGapMs } from '../src/node.js';
+import { turnGapMs } from '../src/reign/session.js';
 import { Admission } from '../src/overload/admission.js';
 import { admit } from '../src/overload/admit.js';
 import { limitsOf, type Load, WORK } from '../src/overload/model.js';
--- /dev/null
+++ b/packages/controller/test/rebuild.test.ts
@@ -0,0 +1,307 @@
+/** Joining what several nodes remember, finding where they differ, and planning what must be written. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import fc from 'fast-check';
+import { JobCache } from '../src/jobs/cache.js';
+import { encodeFinal, encodeJob, encodeOver, encodePack } from '../src/jobs/codec.js';
+import { Finals } from '../src/jobs/finals.js';
+import { activeKey, finalKey, OVER, PACK } from '../src/jobs/keys.js';
+import { type FinalState, isComplete, type Job } from '../src/jobs/model.js';
+import { decodeAsk, decodeTold, encodeAsk, encodeTold } from '../src/rebuild/codec.js';
+import { digestOf, RANGES } from '../src/rebuild/digest.js';
+import { told } from '../src/rebuild/exchange.js';
+import { type Claim, contentOf, mergeClaims, mergeFinals } from '../src/rebuild/merge.js';
+import { planOf, type Store } from '../src/rebuild/plan.js';
+import { claimsOf, Relics } from '../src/rebuild/relics.js';
+import { decodeFact, encodeFact, Witness } from '../src/rebuild/witness.js';
+import { Effect } from 'effect';
+import { job } from './support/job.js';
+
+const wire = (v: unknown): unknown => JSON.parse(JSON.stringify(v));
+const TASKS = 5;
+
+/** One history of a job: each step's state is a later view of the same incarnation. */
+const history = fc
+  .array(
+    fc.record({
+      what: fc.constantFrom('start', 'done', 'gone', 'withdraw', 'none'),
+      task: fc.nat(TASKS - 1),
+      machine: fc.constantFrom('m1', 'm2', 'm3'),
+    }),
+    { maxLength: 14 },
+  )
+  .map((steps): Job[] => {
+    const states: Job[] = [];
+    let now = job('job-1', { tasks: TASKS });
+    for (const s of steps) {
+      const next: Job = {
+        ...now,
+        done: new Set(now.done),
+        placed: new Map(now.placed),
+        failedOn: new Set(now.failedOn),
+      };
+      const over = now.withdrawn || isComplete(now);
+      if (s.what === 'start' && !over && !now.done.has(s.task) && !now.placed.has(s.task)) {
+        next.attempt = now.attempt + 1;
+        next.placed.set(s.task, { task: s.task, attempt: next.attempt, machine: s.machine });
+      } else if (s.what === 'done' && next.placed.delete(s.task)) next.done.add(s.task);
+      else if (s.what === 'gone' && next.placed.delete(s.task)) next.failedOn.add(s.machine);
+      else if (s.what === 'withdraw' && !isComplete(now)) next.withdrawn = true;
+      states.push((now = next));
+    }
+    return states.length > 0 ? states : [now];
+  });
+const claims = history.chain((states) =>
+  fc
+    .array(fc.nat(states.length - 1), { minLength: 1, maxLength: 5 })
+    .map((picks): Claim[] => picks.map((i) => ({ generation: 0, revision: i, job: states[i]! }))),
+);
+
+test('joining does not depend on order or on repetition', () => {
+  fc.assert(
+    fc.property(claims, fc.infiniteStream(fc.nat()), (list, order) => {
+      const result = contentOf(mergeClaims(list));
+      const shuffled = list
+        .map((c) => [order.next().value as number, c] as const)
+        .sort((a, b) => a[0] - b[0])
+        .map(([, c]) => c);
+      assert.equal(contentOf(mergeClaims(shuffled)), result);
+      assert.equal(contentOf(mergeClaims([...list, ...shuffled])), result);
+    }),
+    { seed: 19, numRuns: 400 },
+  );
+});
+
+test('of views of one history the join is the latest: nothing told is lost, nothing that ended runs again', () => {
+  fc.assert(
+    fc.property(claims, (list) => {
+      const merged = mergeClaims(list);
+      const last = list.reduce((a, b) => (b.revision > a.revision ? b : a)).job;
+      assert.equal(contentOf(merged), contentOf(last));
+    }),
+    { seed: 20, numRuns: 400 },
+  );
+});
+
+// A store that came back older may go on for a moment before anybody notices: what was started then counts as running.
+test('a start that the latest view does not know of counts as running, one that it saw end does not', () => {
+  const late = job('job-1', { tasks: 3 });
+  late.attempt = 4;
+  late.done.add(0);
+  const old = job('job-1', { tasks: 3 });
+  old.attempt = 5;
+  old.placed.set(0, { task: 0, attempt: 3, machine: 'm1' });
+  old.placed.set(1, { task: 1, attempt: 4, machine: 'm1' });
+  old.placed.set(2, { task: 2, attempt: 5, machine: 'm2' });
+  const merged = mergeClaims([
+    { generation: 0, revision: 90, job: late },
+    { generation: 0, revision: -1, job: old },
+  ]);
+  assert.deepEqual([...merged.placed.keys()], [2]);
+  assert.equal(merged.attempt, 5);
+  assert.deepEqual([...merged.done], [0]);
+});
+
+test('who was told done stays told done, and a cancellation holds against everything but that', () => {
+  const open = job('job-1', { tasks: 1 });
+  const withdrawn = { ...job('job-1', { tasks: 1 }), withdrawn: true };
+  const complete = job('job-1', { tasks: 1 });
+  complete.done.add(0);
+  const claim = (j: Job, revision: number): Claim => ({ generation: 0, revision, job: j });
+  assert.equal(mergeClaims([claim(withdrawn, 1), claim(open, 2)]).withdrawn, true);
+  const both = mergeClaims([claim(complete, 1), claim(withdrawn, 2)]);
+  assert.ok(isComplete(both) && !both.withdrawn);
+  const done: FinalState = { status: 'done', tasks: 1 };
+  const cancelled: FinalState = { status: 'cancelled', tasks: 1 };
+  assert.deepEqual(mergeFinals(cancelled, done), done);
+  assert.deepEqual(mergeFinals(done, cancelled), done);
+});
+
+const emptyStore = (over: Partial<Store> = {}): Store => ({
+  jobs: new Map(),
+  damaged: () => undefined,
+  over: () => false,
+  generation: -1,
+  revision: -1,
+  ...over,
+});
+const claimMap = (...jobs: Job[]): Map<string, Claim[]> =>
+  new Map(jobs.map((j) => [j.spec.id, [{ generation: 0, revision: 10, job: j }]]));
+
+test('the plan writes what is missing or differs, ends what is over, and leaves the rest alone', () => {
+  const same = job('job-1');
+  const changed = job('job-2', { tasks: 2 });
+  changed.done.add(1);
+  const lost = job('job-3', { urgency: 1 });
+  const urgent = job('job-4', { urgency: 3 });
+  const cancelled = { ...job('job-5'), withdrawn: true };
+  cancelled.placed.set(0, { task: 0, attempt: 1, machine: 'm' });
+  const broken = job('job-6');
+  const ended = job('job-7');
+  ended.done.add(0);
+  const store = emptyStore({
+    jobs: new Map(
+      ['job-1', 'job-2', 'job-8'].map((id, i) => [
+        id,
+        { ...job(id, { tasks: id === 'job-2' ? 2 : 1 }), stamp: 5 + i },
+      ]),
+    ),
+    damaged: (id) => (id === 'job-6' ? 9 : undefined),
+    over: (id) => id === 'job-9',
+  });
+  const finals = new Map<string, FinalState>([
+    ['job-8', { status: 'done', tasks: 1 }],
+    ['job-9', { status: 'done', tasks: 1 }],
+    ['job-10', { status: 'cancelled', tasks: 3 }],
+  ]);
+  const plan = planOf(
+    store,
+    claimMap(same, changed, lost, urgent, cancelled, broken, ended, job('job-9')),
+    finals,
+    77,
+  );
+  assert.deepEqual(
+    plan.missing.map((j) => [j.spec.id, j.folded]),
+    [
+      ['job-5', 77],
+      ['job-4', 77],
+      ['job-3', 77],
+    ],
+    'what must be gone in time first, then by urgency',
+  );
+  assert.deepEqual(
+    plan.differing.map((d) => [d.job.spec.id, d.stamp]),
+    [
+      ['job-2', 6],
+      ['job-6', 9],
+    ],
+  );
+  assert.deepEqual(
+    plan.close.map((c) => [c.id, c.stamp]),
+    [['job-8', 7]],
+  );
+  assert.deepEqual(
+    plan.over.map(([id]) => id),
+    ['job-10', 'job-7'],
+  );
+  // Written, it is all there: a second pass has nothing to do.
+  const after = emptyStore({
+    jobs: new Map([same, changed, lost, urgent, cancelled, broken].map((j) => [j.spec.id, j])),
+    over: (id) => ['job-7', 'job-8', 'job-9', 'job-10'].includes(id),
+  });
+  const again = planOf(after, claimMap(same, changed, lost, urgent, cancelled, broken, ended), finals, 77);
+  assert.deepEqual([again.missing, again.differing, again.close, again.over], [[], [], [], []]);
+});
+
+test('only what differs travels between two nodes, in bounded answers', () => {
+  const mine = new JobCache();
+  const theirs = new JobCache();
+  for (let i = 0; i < 3000; i++) {
+    const j = job(`job-${i}`);
+    for (const c of [mine, theirs])
+      c.apply({ key: activeKey(`job-${i}`), value: wire(encodeJob(j, 0)), stamp: i + 1 });
+  }
+  const extra = job('job-77777', { tasks: 2 });
+  theirs.apply({ key: activeKey('job-77777'), value: wire(encodeJob(extra, 0)), stamp: 4000 });
+  theirs.apply({ key: finalKey('job-88888'), value: encodeFinal({ status: 'done', tasks: 4 }), stamp: 4001 });
+  const relics = new Relics('n1');
+  relics.keep(relics.relicOf(theirs, 0, null));
+  const own = new Relics('n0');
+  own.keep(own.relicOf(mine, 0, null));
+  const nobody = new Witness({ ask: () => Effect.succeed(Buffer.alloc(0)) }, () => []);
+  const merged = [...claimsOf(own.all).values()].map((list) => mergeClaims(list));
+  const ask = decodeAsk(encodeAsk({ incarnation: 'x', digest: digestOf(merged, []), from: 0 }))!;
+  const answer = decodeTold(encodeTold(told(ask, relics.all, theirs, nobody)))!;
+  assert.equal(answer.next, null);
+  assert.ok(answer.claims.length < 60, `${answer.claims.length} of 3001 claims travelled`);
+  assert.ok(answer.claims.some((c) => c.job.spec.id === 'job-77777'));
+  assert.deepEqual(answer.finals, [['job-88888', { status: 'done', tasks: 4 }]]);
+  // With nothing alike, all of it comes, a bounded part at a time.
+  const all = new Set<string>();
+  let parts = 0;
+  for (let from: number | null = 0; from !== null; parts++) {
+    const t: ReturnType<typeof told> = told(
+      { incarnation: 'x', digest: new Uint32Array(RANGES * 2), from },
+      relics.all,
+      theirs,
+      nobody,
+    );
+    assert.ok(t.claims.length < 1000);
+    for (const c of t.claims) all.add(c.job.spec.id);
+    from = t.next;
+  }
+  assert.equal(all.size, 3001);
+  assert.ok(parts > 3);
+  assert.equal(decodeAsk(Buffer.from('x')), null);
+  assert.equal(decodeTold(Buffer.from('x')), null);
+});
+
+test('a pack lists jobs until they have keys of their own or are over, in whatever order that is read', () => {
+  const packed = encodePack([job('job-1', { tasks: 3 }), job('job-2')]);
+  const own = { ...job('job-1', { tasks: 3 }), attempt: 8 };
+  const changes = [
+    { key: `${PACK}1`, value: wire(packed), stamp: 10 },
+    { key: activeKey('job-1'), value: wire(encodeJob(own, 0)), stamp: 20 },
+  ];
+  const watched = new JobCache();
+  for (const c of changes) watched.apply(c);
+  const listed = new JobCache();
+  listed.load([...changes].reverse(), 20);
+  for (const cache of [watched, listed]) {
+    assert.equal(cache.jobs.get('job-1')!.attempt, 8);
+    assert.equal(cache.jobs.get('job-2')!.stamp, 0);
+    const out = cache.unpacking(['job-2']);
+    assert.deepEqual(out.when, [{ key: `${PACK}1`, stamp: 10 }]);
+    assert.deepEqual(
+      out.then,
+      [{ delete: `${PACK}1` }],
+      'job-1 has a key of its own: nothing is left to list',
+    );
+    cache.apply({ key: `${PACK}1`, value: undefined, stamp: 30 });
+    assert.ok(!cache.jobs.has('job-2'), 'taken out of its pack it is over');
+    assert.ok(cache.jobs.has('job-1'));
+    assert.equal(cache.packOf.size, 0);
+  }
+});
+
+test('final states are kept as numbers, the oldest forgotten first, and read from pages of many', () => {
+  const finals = new Finals(3);
+  finals.complete = true;
+  for (let i = 1; i <= 4; i++)
+    finals.remember(`job-${i}`, { status: i % 2 ? 'done' : 'cancelled', tasks: i });
+  assert.equal(finals.has('job-1'), false);
+  assert.deepEqual(finals.get('job-4'), { status: 'cancelled', tasks: 4 });
+  assert.equal(finals.complete, false, 'one was forgotten: what is not here may be in the store');
+  const cache = new JobCache();
+  const page = encodeOver([['job-5', { status: 'done', tasks: 100_000 }]]);
+  cache.apply({ key: `${OVER}1/job-5~`, value: wire(page), stamp: 1 });
+  assert.deepEqual(cache.finals.get('job-5'), { status: 'done', tasks: 100_000 });
+});
+
+test('what a user is told is noted by the others until their own view includes it', () => {
+  const nobody = new Witness({ ask: () => Effect.succeed(Buffer.alloc(0)) }, () => []);
+  const accepted = {
+    id: 'job-1',
+    revision: 40,
+    generation: 0,
+    incarnation: 'one',
+    value: { stored: wire(encodeJob(job('job-1'), 0)) },
+  };
+  const done = {
+    id: 'job-2',
+    revision: 41,
+    generation: 0,
+    incarnation: 'one',
+    value: { final: { status: 'done', tasks: 2 } as FinalState },
+  };
+  for (const f of [accepted, done]) {
+    assert.deepEqual(decodeFact(encodeFact(f)), f);
+    nobody.note(decodeFact(encodeFact(f))!);
+  }
+  assert.equal(decodeFact(encodeFact({ ...accepted, value: { stored: 'nonsense' } })), null);
+  assert.equal(nobody.claims()[0]!.job.spec.id, 'job-1');
+  nobody.covered('two', 100);
+  assert.equal(nobody.size, 2, 'revisions of another incarnation cover nothing');
+  nobody.covered('one', 40);
+  assert.deepEqual([nobody.claims().length, [...nobody.finals()].length], [0, 1]);
+});
--- /dev/null
+++ b/packages/lab/src/play.ts
@@ -0,0 +1,112 @@
+/** Plays one day of an experiment and says what became of it. The same experiment and seed give the same outcome. */
+import type { Experiment } from './experiment.js';
+import { World } from './world/world.js';
+
+/** What a day must have served of each team. */
+export const SERVED_AT_LEAST = 0.5;
+
+/** Times after the last loss, milliseconds; null: not reached, or nothing was lost. */
+export interface Recovery {
+  /** Until a controller doubted the store. */
+  readonly noticed: number | null;
+  /** Until a poll was answered otherwise than with 503, by a controller that had noticed. */
+  readonly answers: number | null;
+  /** Until all that is known was durable again. */
+  readonly durable: number | null;
+  /** Until a task was started. */
+  readonly started: number | null;
+}
+
+export interface DayResult {
+  readonly experiment: string;
+  readonly seed: number;
+  readonly broken: readonly string[];
+  readonly unfinished: number;
+  readonly accepted: number;
+  readonly over: number;
+  readonly started: number;
+  /** Tasks killed by a worker whose lease ran out. */
+  readonly killed: number;
+  readonly losses: number;
+  /** Losses through which no controller lived that had read the store: what only they knew is gone. */
+  readonly unwitnessed: number;
+  readonly served: Readonly<Record<string, number>>;
+  readonly struck: Readonly<Record<string, number>>;
+  readonly recovery: Recovery;
+  /** When the day ended, seconds. */
+  readonly ended: number;
+}
+
+/** Rules that rest on somebody's memory: they can't be asked of a day on which every memory of a job was lost. */
+const BY_MEMORY = /^(forgotten|went_back|older_answer|not_done)/;
+
+/** What speaks against the day; empty: nothing. */
+export const faultsOf = (d: DayResult): string[] => {
+  const excused = d.unwitnessed > 0;
+  const out = d.broken.filter((b) => !excused || !BY_MEMORY.test(b));
+  if (!excused && d.broken.length === 0) {
+    if (d.unfinished > 0) out.push(`${d.unfinished} accepted jobs not at their end`);
+    for (const [team, part] of Object.entries(d.served))
+      if (part < SERVED_AT_LEAST) out.push(`team ${team}: ${part.toFixed(2)} served`);
+  }
+  return out;
+};
+
+export const playDay = (x: Experiment, seed: number, print = false): DayResult => {
+  const world = new World(seed, x.troubles, x.size, print);
+  const took: { -readonly [K in keyof Recovery]: Recovery[K] } = {
+    noticed: null,
+    answers: null,
+    durable: null,
+    started: null,
+  };
+  const step = world.time.onStep;
+  let losses = 0;
+  let startedBefore = 0;
+  let incarnation: string | null = null;
+  world.time.onStep = () => {
+    step();
+    if (world.lossAt.length > losses) {
+      losses = world.lossAt.length;
+      startedBefore = world.rules.started;
+      incarnation = world.up()[0]?.node.doubt.incarnation?.id ?? null;
+      Object.assign(took, { noticed: null, answers: null, durable: null, started: null });
+    }
+    if (losses === 0 || took.started !== null) return;
+    const at = world.lossAt[losses - 1]!;
+    const ms = (now: number): number => Math.round((now - at) / 1000);
+    if (took.noticed === null) {
+      if (world.up().some((u) => u.node.doubt.active)) took.noticed = ms(world.time.now);
+      return;
+    }
+    if (took.durable === null) {
+      if (world.rebuilt(incarnation)) took.durable = ms(world.time.now);
+      return;
+    }
+    if (took.answers === null && world.answersAt > at + took.durable * 1000)
+      took.answers = ms(world.answersAt);
+    if (world.rules.started > startedBefore) {
+      // What was sent before the loss may still start; what counts is a start after the rebuild.
+      if (world.lastStart > at + took.durable * 1000) took.started = ms(world.lastStart);
+    }
+  };
+  world.play(x.jobs, x.troubledUs, x.quietUs);
+  const result: DayResult = {
+    experiment: x.name,
+    seed,
+    broken: [...world.rules.broken],
+    unfinished: world.unfinished().length,
+    accepted: world.accepted,
+    over: world.over,
+    started: world.rules.started,
+    killed: world.killed,
+    losses: world.lossAt.length,
+    unwitnessed: world.diedIn,
+    served: world.served(),
+    struck: { ...world.struck },
+    recovery: { ...took },
+    ended: world.time.now / 1e6,
+  };
+  world.stop();
+  return result;
+};
--- /dev/null
+++ b/packages/lab/src/report.ts
@@ -0,0 +1,39 @@
+/** What many days of one experiment say together. */
+import { build, type Histogram } from 'hdr-histogram-js';
+import { type DayResult, faultsOf, type Recovery } from './play.js';
+
+const STEPS = ['noticed', 'durable', 'answers', 'started'] as const satisfies readonly (keyof Recovery)[];
+const SAID: Record<(typeof STEPS)[number], string> = {
+  noticed: 'loss noticed',
+  durable: 'all known durable',
+  answers: 'first answer after that',
+  started: 'first start after that',
+};
+
+const histogram = (): Histogram =>
+  build({ bitBucketSize: 64, numberOfSignificantValueDigits: 3, highestTrackableValue: 3_600_000 });
+
+/** Lines for a person: totals, then recovery times as percentiles. */
+export const table = (days: readonly DayResult[]): string[] => {
+  const sum = (of: (d: DayResult) => number): number => days.reduce((n, d) => n + of(d), 0);
+  const bad = days.filter((d) => faultsOf(d).length > 0);
+  const lines = [
+    `${days.length} days, ${bad.length} with a fault; losses ${sum((d) => d.losses)} on ${days.filter((d) => d.losses > 0).length} days, ` +
+      `of them ${sum((d) => d.unwitnessed)} that no controller lived through`,
+    `jobs accepted ${sum((d) => d.accepted)}, over ${sum((d) => d.over)}; tasks started ${sum((d) => d.started)}, killed by a lease ${sum((d) => d.killed)}`,
+  ];
+  for (const step of STEPS) {
+    const h = histogram();
+    for (const d of days) {
+      const ms = d.recovery[step];
+      if (ms !== null) h.recordValue(ms);
+    }
+    if (h.totalCount === 0) continue;
+    const at = (p: number): string => `${(h.getValueAtPercentile(p) / 1000).toFixed(2)} s`;
+    lines.push(
+      `${SAID[step]}: middle ${at(50)}, 9 in 10 ${at(90)}, 99 in 100 ${at(99)}, longest ${(h.maxValue / 1000).toFixed(2)} s (${h.totalCount})`,
+    );
+  }
+  for (const d of bad) lines.push(`seed ${d.seed}: ${faultsOf(d).slice(0, 3).join('; ')}`);
+  return lines;
+};
--- a/packages/lab/src/world/rules.ts
+++ b/packages/lab/src/world/rules.ts
@@ -27,7 +27,13 @@
   private readonly told = new Map<string, 'accepted' | 'done' | 'aborted'>();
   private readonly asked = new Set<string>();
   private readonly cancelledAt = new Map<string, number>();
+  private readonly attempts = new Map<string, string>();
+  private readonly hires = new Map<string, string>();
+  /** Tasks done, as last told. */
+  private readonly doneTold = new Map<string, number>();
   started = 0;
+  /** When the last one was. */
+  startedAt = 0;
 
   constructor(
     private readonly cancelWithin: number,
@@ -41,6 +47,7 @@
   /** A task has its image and is on the machine from here. */
   start(task: string, m: Place, now: number): void {
     this.started++;
+    this.startedAt = now;
     const jobId = task.slice(0, task.indexOf('/'));
     const s = this.specs.get(jobId);
     const there = this.on.get(task) ?? new Map<string, Place>();
@@ -83,6 +90,22 @@
     if (there?.size === 0) this.on.delete(task);
   }
 
+  /** A worker is told to run it: no attempt is ever used twice, whatever has been forgotten. */
+  ordered(task: string, attempt: number, machine: string): void {
+    const key = `${task}#${attempt}`;
+    const first = this.attempts.get(key);
+    if (first !== undefined && first !== machine)
+      this.break('attempt_reused', `${key} on ${first} and ${machine}`);
+    this.attempts.set(key, machine);
+  }
+
+  /** The cloud is asked for machines under a name: never for others under the same one. */
+  hired(name: string, what: string): void {
+    const first = this.hires.get(name);
+    if (first !== undefined && first !== what) this.break('hire_reused', `${name} for ${first} and ${what}`);
+    this.hires.set(name, what);
+  }
+
   complete(task: string): void {
     const at = task.indexOf('/');
     const id = task.slice(0, at);
@@ -102,13 +125,17 @@
       this.break('forgotten', `${id} refused with ${status} at ${now}`);
   }
 
-  answered(id: string, status: number, state: string | undefined, now: number): void {
+  answered(id: string, status: number, state: string | undefined, now: number, done?: number): void {
     const before = this.told.get(id);
     if (status === 404 && before) this.break('forgotten', `${id} at ${now}`);
     if (status === 200 && !this.specs.has(id)) this.break('invented', id);
     if (status !== 200) return;
     if ((before === 'done' || before === 'aborted') && state !== before)
       this.break('went_back', `${id} from ${before} to ${state} at ${now}`);
+    const doneBefore = this.doneTold.get(id) ?? 0;
+    if (done !== undefined && done < doneBefore)
+      this.break('older_answer', `${id}: ${done} done after ${doneBefore} at ${now}`);
+    if (done !== undefined) this.doneTold.set(id, done);
     if (state === 'aborted' && !this.asked.has(id)) this.break('went_back', `${id} cancelled by nobody`);
     if (state === 'done') {
       if ((this.completed.get(id)?.size ?? 0) < (this.specs.get(id)?.tasks ?? 0))
--- a/packages/lab/src/world/state.ts
+++ b/packages/lab/src/world/state.ts
@@ -6,19 +6,46 @@
   Refused,
   type Change,
   type Changes,
-  type Entry,
+  type Found,
   type Outcome,
   type StateFailure,
 } from '@lilacvalve/controller/state-store/client';
 import type { StatePort } from '@lilacvalve/controller/state-store/port';
 import { micros } from '@lilacvalve/base/micros';
+import type { Links } from './links.js';
 import type { Luck } from '@lilacvalve/controller/support/luck';
 import type { Time } from './time.js';
 
+/** What the service loses. Times in microseconds. */
+export type Loss =
+  | { readonly kind: 'all' }
+  /** Everything since; what becomes of leases, and of the keys on them. */
+  | { readonly kind: 'window'; readonly since: number; readonly leases: 'renewed' | 'gone' | 'keys stay' }
+  /** Each key below the prefix with this chance, without a change to tell of it. */
+  | { readonly kind: 'keys'; readonly prefix: string; readonly part: number }
+  /** One value below the prefix can't be read, or is an older one again. */
+  | { readonly kind: 'damage'; readonly prefix: string; readonly how: 'unreadable' | 'older' }
+  /** For so long every second read is answered by a copy that is as old as `since`. */
+  | { readonly kind: 'copies'; readonly since: number; readonly lasts: number };
+
+interface Kept {
+  readonly value: string;
+  readonly stamp: number;
+  readonly lease: number | null;
+}
+
 export class StateService {
-  readonly keys = new Map<string, { value: string; stamp: number; lease: number | null }>();
+  keys = new Map<string, Kept>();
   revision = 0;
-  private readonly log: { key: string; value: string | undefined; stamp: number }[] = [];
+  private log: {
+    readonly key: string;
+    readonly value: string | undefined;
+    readonly stamp: number;
+    readonly lease: number | null;
+    readonly at: number;
+  }[] = [];
+  /** While two copies answer in turn: the older one, and whose turn it is. */
+  private older: { readonly keys: Map<string, Kept>; readonly revision: number; turn: boolean } | null = null;
   private readonly leases = new Map<number, { ttl: number; cancel: () => void }>();
   private nextLease = 1;
   private readonly watchers = new Set<() => void>();
@@ -29,12 +56,13 @@
   constructor(
     private readonly time: Time,
     private readonly luck: Luck,
+    private readonly links: Links,
   ) {}
 
   private put(key: string, value: string | undefined, stamp: number, lease: number | null): void {
     if (value === undefined) this.keys.delete(key);
     else this.keys.set(key, { value, stamp, lease });
-    this.log.push({ key, value, stamp });
+    this.log.push({ key, value, stamp, lease, at: this.time.now });
   }
 
   private arm(id: number, ttl: number): void {
@@ -69,6 +97,70 @@
     if (!on) this.notify();
   }
 
+  /** The content as it was `since` microseconds ago. */
+  private asOf(since: number): { keys: Map<string, Kept>; revision: number; changes: number } {
+    const keys = new Map<string, Kept>();
+    let revision = 0;
+    let changes = 0;
+    for (const e of this.log) {
+      if (e.at > this.time.now - since) break;
+      changes++;
+      revision = e.stamp;
+      if (e.value === undefined) keys.delete(e.key);
+      else keys.set(e.key, { value: e.value, stamp: e.stamp, lease: e.lease });
+    }
+    return { keys, revision, changes };
+  }
+
+  lose(loss: Loss): void {
+    const ids = (prefix: string): string[] =>
+      [...this.keys.keys()].filter((k) => k.startsWith(prefix)).sort();
+    if (loss.kind === 'all') {
+      this.keys = new Map();
+      this.revision = 0;
+      this.log = [];
+      for (const l of this.leases.values()) l.cancel();
+      this.leases.clear();
+      this.nextLease = 1;
+    } else if (loss.kind === 'window') {
+      const old = this.asOf(loss.since);
+      this.keys = old.keys;
+      this.revision = old.revision;
+      this.log = this.log.slice(0, old.changes);
+      const ttls = new Map([...this.leases].map(([id, l]) => [id, l.ttl]));
+      for (const l of this.leases.values()) l.cancel();
+      this.leases.clear();
+      for (const [key, v] of [...this.keys]) {
+        if (v.lease === null) continue;
+        if (loss.leases === 'gone') this.keys.delete(key);
+        else if (loss.leases === 'renewed') this.arm(v.lease, ttls.get(v.lease) ?? 4e6);
+      }
+    } else if (loss.kind === 'keys') {
+      for (const k of ids(loss.prefix)) if (this.luck.chance(loss.part)) this.keys.delete(k);
+    } else if (loss.kind === 'damage') {
+      const all = ids(loss.prefix);
+      const key = all[this.luck.int(Math.max(1, all.length))];
+      if (key === undefined) return;
+      const now = this.keys.get(key)!;
+      const before = this.log
+        .filter((e) => e.key === key && e.value !== undefined && e.stamp < now.stamp)
+        .pop();
+      if (loss.how === 'unreadable') this.keys.set(key, { ...now, value: '{"c":7}' });
+      else if (before) this.keys.set(key, { value: before.value!, stamp: before.stamp, lease: now.lease });
+    } else {
+      this.older = { ...this.asOf(loss.since), turn: false };
+      this.time.after(loss.lasts, () => (this.older = null));
+    }
+    this.notify();
+  }
+
+  /** What answers the next read. */
+  private copy(): { readonly keys: Map<string, Kept>; readonly revision: number } {
+    if (this.older === null) return this;
+    this.older.turn = !this.older.turn;
+    return this.older.turn ? this.older : this;
+  }
+
   private transact(
     when: { key: string; stamp: number }[],
     then: { set?: string; value?: unknown; lease?: number; delete?: string }[],
@@ -105,6 +197,29 @@
           });
           return;
         }
+        const unanswered = (reason: string) => () => {
+          port.lastRefused = this.time.now;
+          resume(Effect.fail(new Lost({ reason })));
+        };
+        const faulty = this.links.state(node, 'state') !== null || this.links.state('state', node) !== null;
+        if (faulty) {
+          this.time.after(1_200_000, unanswered('timeout'));
+          const ask = () => {
+            if (this.out || this.refusedTo.has(node)) return;
+            const r = go();
+            this.links.answer(
+              node,
+              'state',
+              () => {
+                port.lastServed = this.time.now;
+                resume(r instanceof Refused || r instanceof Lost ? Effect.fail(r) : Effect.succeed(r as A));
+              },
+              unanswered('reset'),
+            );
+          };
+          this.links.send(node, 'state', ask, unanswered('reset'));
+          return;
+        }
         this.time.after(there, () => {
           if (this.out || this.refusedTo.has(node)) {
             port.lastRefused = this.time.now;
@@ -134,23 +249,30 @@
           return this.transact([...when], JSON.parse(JSON.stringify(then)) as []);
         }),
       get: (key) =>
-        call<Entry | null>(() => {
-          const v = this.keys.get(key);
-          return v ? { key, value: JSON.parse(v.value) as unknown, stamp: v.stamp } : null;
+        call<Found>(() => {
+          const copy = this.copy();
+          const v = copy.keys.get(key);
+          return v
+            ? { entry: { key, value: JSON.parse(v.value) as unknown, stamp: v.stamp }, revision: null }
+            : { entry: null, revision: copy.revision };
         }),
       page: (prefix, after, limit) =>
         call(() => {
-          const keys = [...this.keys.keys()]
+          const copy = this.copy();
+          const keys = [...copy.keys.keys()]
             .filter((k) => k.startsWith(prefix) && (after === null || k > after))
             .sort();
-          const entries = keys.slice(0, Math.min(limit, 7)).map((key) => {
-            const v = this.keys.get(key)!;
+          const entries = keys.slice(0, Math.min(limit, 40)).map((key) => {
+            const v = copy.keys.get(key)!;
             return { key, value: JSON.parse(v.value) as unknown, stamp: v.stamp };
           });
-          return { entries, more: keys.length > entries.length, revision: this.revision };
+          return { entries, more: keys.length > entries.length, revision: copy.revision };
         }),
       follow: (prefix, after, blockMs) => {
         const look = (): Changes => {
+          const copy = this.copy();
+          // The older copy has not seen the latest changes.
+          if (copy !== this) return { tooOld: false, revision: copy.revision, changes: [] };
           if (this.log.length > 0 && after < this.log[Math.max(0, this.log.length - 10_000)]!.stamp - 1)
             return { tooOld: true };
           const changes: Change[] = [];
@@ -177,7 +299,7 @@
                 resume(Effect.succeed(look()));
               };
               const check = () => {
-                if (this.out || this.refusedTo.has(node)) return;
+                if (this.out || this.refusedTo.has(node) || this.links.state('state', node) !== null) return;
                 const l = look();
                 if (l.tooOld || l.changes.length > 0) this.time.after(2000, done);
               };
--- a/packages/lab/src/world/time.ts
+++ b/packages/lab/src/world/time.ts
@@ -8,14 +8,21 @@
   readonly go: () => void;
 }
 
+const silent = Logger.remove(Logger.defaultLogger);
+
 export class Time {
   now = 0;
   private order = 0;
+  private forks = 0;
   private readonly heap: Event[] = [];
   private readonly scheduler = new Scheduler.ControlledScheduler();
   onStep: () => void = () => undefined;
 
-  constructor(private readonly seed: number) {}
+  constructor(
+    private readonly seed: number,
+    /** Prints what the nodes log, with the time in seconds and the host's name. */
+    private readonly print = false,
+  ) {}
 
   micros = (): Micros => micros(this.now);
 
@@ -77,16 +84,28 @@
   fork<A, E>(effect: Effect.Effect<A, E>, host?: Host): Fiber.RuntimeFiber<A, E> {
     return Effect.runFork(
       effect.pipe(
-        Effect.withRandom(Random.make(this.seed)),
+        // Each with luck of its own: two nodes never draw the same.
+        Effect.withRandom(Random.make(`${this.seed}/${this.forks++}`)),
         Effect.withClock(
           host ? { ...this.clock, sleep: (d) => Effect.zipLeft(this.clock.sleep(d), host.pass) } : this.clock,
         ),
-        Effect.provide(Layer.mergeAll(Logger.remove(Logger.defaultLogger))),
+        Effect.provide(this.print ? this.printing(host) : silent),
       ),
       { scheduler: this.scheduler },
     );
   }
 
+  private printing(host: Host | undefined): Layer.Layer<never> {
+    return Logger.replace(
+      Logger.defaultLogger,
+      Logger.make(({ message }) => {
+        const parts = Array.isArray(message) ? message : [message];
+        const text = parts.map((p) => (typeof p === 'string' ? p : JSON.stringify(p))).join(' ');
+        process.stdout.write(`${(this.now / 1e6).toFixed(3)} ${host?.name ?? '-'} ${text}\n`);
+      }),
+    );
+  }
+
   private readonly clock: Clock.Clock = {
     [Clock.ClockTypeId]: Clock.ClockTypeId,
     unsafeCurrentTimeMillis: () => this.now / 1000,
@@ -103,6 +122,8 @@
 
 /** A machine that may stand still: while it does, nothing on it goes on, and all that is due happens as it wakes. */
 export class Host {
+  constructor(readonly name = '') {}
+
   private frozen = false;
   private held: (() => void)[] = [];
 
--- a/packages/lab/src/world/worker.ts
+++ b/packages/lab/src/world/worker.ts
@@ -2,6 +2,7 @@
 import { type Effect, Exit } from 'effect';
 import type { Answer, Incoming } from '@lilacvalve/base/http-server';
 import type { Place, Rules, Spec } from './rules.js';
+import type { Links } from './links.js';
 import type { Luck } from '@lilacvalve/controller/support/luck';
 import type { Time } from './time.js';
 
@@ -26,9 +27,7 @@
 }
 export interface Net {
   handle(node: string, r: Incoming): Effect.Effect<Answer> | null;
-  /** Delay of one message; null: held back until later, or lost. */
-  delay(): number;
-  cut(zone: string, node: string): boolean;
+  readonly links: Links;
   readonly nodes: readonly string[];
 }
 export interface Timing {
@@ -69,6 +68,8 @@
     private readonly timing: Timing,
     /** Everything that runs here fails. */
     private readonly faulty = false,
+    /** Called with the number of tasks that a lapsed lease has killed. */
+    private readonly onKilled: (tasks: number) => void = () => undefined,
   ) {
     this.leaseFrom = time.now;
     this.drift = luck.between(-0.0005, 0.0005);
@@ -81,6 +82,8 @@
     if (!this.alive) return;
     const end = this.leaseFrom + this.timing.lease * (1 + this.drift);
     if (this.time.now >= end) {
+      const tasks = [...this.tasks.values()].filter((t) => t.status !== 'ended').length;
+      if (tasks > 0) this.onKilled(tasks);
       this.killAll();
       this.tenure++;
       this.leaseFrom = this.time.now;
@@ -200,16 +203,22 @@
       this.schedule(wait);
     };
     this.time.after(4e6, () => finish(null));
-    if (this.net.cut(this.place.zone, node)) {
-      // Held: it may arrive long after the worker has given up.
-      if (this.luck.chance(0.5))
-        this.time.after(this.luck.between(4e6, 40e6), () => this.deliver(node, body, () => undefined));
-      return;
-    }
-    this.time.after(this.net.delay(), () =>
-      this.deliver(node, body, (a) => {
-        this.time.after(this.net.delay(), () => finish(this.net.cut(this.place.zone, node) ? null : a));
-      }),
+    const zone = `zone:${this.place.zone}`;
+    const { links } = this.net;
+    links.send(
+      zone,
+      node,
+      // Held, it may arrive long after the worker has given up.
+      () =>
+        this.deliver(node, body, (a) =>
+          links.answer(
+            zone,
+            node,
+            () => finish(a),
+            () => finish(null),
+          ),
+        ),
+      () => finish(null),
     );
   }
 
@@ -267,6 +276,7 @@
   private begin(key: string, attempt: number): void {
     const old = this.tasks.get(key);
     if (old && old.attempt === attempt) return;
+    this.rules.ordered(key, attempt, this.place.id);
     if (old) return; // in_use, reported as such elsewhere; the old attempt stays
     const id = key.slice(0, key.indexOf('/'));
     const job = this.world.jobs.get(id);
