Two witnesses instead of all, ends told by the leader only; fewer wake-ups at rest

Change: what a user is about to be told goes to two peers that have not read it, the leader first; an end only where this node leads, since anybody else has read it from the leader's record. The check of a fresh view sleeps longer once done.

--- a/packages/controller/src/api/handlers.ts
+++ b/packages/controller/src/api/handlers.ts
@@ -42,6 +42,8 @@
   readonly mayBeNew: (id: string) => boolean;
   /** Tells the other controllers what a user is about to be told; see rebuild/witness.ts. */
   readonly witness: Witness;
+  /** This node leads: the ends it has recorded may be known to nobody else yet. */
+  readonly leads: () => boolean;
   /** This node's view has been held against a peer's since it was read. */
   readonly verified: () => boolean;
   readonly types: () => readonly MachineType[] | null;
@@ -165,11 +167,11 @@
           answer,
         );
   };
-  /** `done` may have come to this node before it comes to the others. */
+  /** A leader knows of an end before the others do; whoever else knows of it has read it, and so the leader knows too. */
   const sayFound = (id: string, f: Found): Effect.Effect<Answer> => {
     const at = d.cache.ended.get(id);
     const answer = say(id, f);
-    if (at === undefined || f === null || 'ward' in f) return Effect.succeed(answer);
+    if (at === undefined || !d.leads() || f === null || 'ward' in f) return Effect.succeed(answer);
     const final: FinalState | null =
       'final' in f
         ? f.final
--- a/packages/controller/src/node.ts
+++ b/packages/controller/src/node.ts
@@ -67,7 +67,11 @@
   const cache = new JobCache();
   const relics = new Relics(settings.label);
   const witness: Witness = new Witness(ports.views, (revision) =>
-    doubt.incarnation === null ? [] : peers.behind(doubt.incarnation.id, revision),
+    doubt.incarnation === null
+      ? []
+      : peers
+          .behind(doubt.incarnation.id, revision)
+          .sort((a, b) => Number(b.label === leadership.known()) - Number(a.label === leadership.known())),
   );
   const doubt: Doubt = new Doubt(clock, () => leadership.leads());
   const store = new GuardedStore(ports.store, doubt, clock);
@@ -119,7 +123,7 @@
         return;
       }
       if (!feed.loaded || doubt.incarnation === null || doubt.active || verified) {
-        yield* Effect.sleep(feed.loaded ? 300 : 40);
+        yield* Effect.sleep(verified ? 1500 : feed.loaded ? 300 : 40);
         return;
       }
       const parts = { doubt, store, feed, cache, port: ports.views };
@@ -218,6 +222,7 @@
       doubt,
       witness,
       verified: () => verified,
+      leads,
       mayBeNew: (id) => sessions.mayBeNew(id),
       types: knownTypes,
       ready: () => unready() === null,
--- a/packages/controller/src/rebuild/witness.ts
+++ b/packages/controller/src/rebuild/witness.ts
@@ -15,6 +15,8 @@
 export const WITNESS = '/witness';
 /** A peer on the same network answers in a few milliseconds. */
 const WAIT_MS = 120;
+/** Peers told of one thing, the leader first: for it to be lost, all of them would have to end with this node. */
+const MOST = 2;
 /** More than come in between two reads of a node. */
 const KEPT = 2000;
 
@@ -67,7 +69,7 @@
 
   constructor(
     private readonly port: ViewPort,
-    /** Reachable peers whose own reads are not known to be as new as `revision`. */
+    /** Reachable peers whose own reads are not known to be as new as `revision`, the leader first. */
     private readonly behind: (revision: number) => readonly Peer[],
   ) {}
 
@@ -93,7 +95,7 @@
     return Effect.suspend(() => {
       // This node's own view is as of its last read, and that may have been before.
       this.note(f);
-      const peers = this.behind(f.revision);
+      const peers = this.behind(f.revision).slice(0, MOST);
       if (peers.length === 0) return Effect.void;
       const body = encodeFact(f);
       return Effect.forEach(peers, (p) => Effect.ignore(this.port.ask(p, WITNESS, body)), {
