Final states are told from memory only while they are durable

Change: in doubt, and until this node's view is part of the rebuilt store, a final state in memory is answered 503.

--- a/packages/controller/src/api/handlers.ts
+++ b/packages/controller/src/api/handlers.ts
@@ -42,6 +42,8 @@
   readonly mayBeNew: (id: string) => boolean;
   /** Tells the other controllers what a user is about to be told; see rebuild/witness.ts. */
   readonly witness: Witness;
+  /** What this node has in memory is durable: not after a loss, until its view is part of the rebuilt store. */
+  readonly durable: () => boolean;
   /** This node leads: the ends it has recorded may be known to nobody else yet. */
   readonly leads: () => boolean;
   /** This node's view has been held against a peer's since it was read. */
@@ -123,10 +125,12 @@
   type Found = { readonly final: FinalState } | { readonly job: Job } | { readonly ward: Ward } | null;
   const lookUp = (id: string): Effect.Effect<Found, StateFailure> =>
     Effect.gen(function* () {
+      // Told from memory alone, it would be lost with this node.
       const over = d.cache.finals.get(id);
-      if (over) return { final: over };
+      if (over && d.durable()) return { final: over };
       yield* d.feed.refresh;
       const known = d.cache.finals.get(id);
+      if (known && !d.durable()) return yield* Effect.fail(unsure);
       if (known) return { final: known };
       const job = d.cache.jobs.get(id);
       if (!d.verified() || (job && !d.cache.current(id))) return yield* Effect.fail(unsure);
@@ -263,7 +267,7 @@
   const adopting = (id: string): Write[] => (d.cache.wards.has(id) ? [{ delete: wardKey(id) }] : []);
 
   const poll = (id: string): Effect.Effect<Answer> =>
-    open() || d.cache.finals.has(id)
+    open() || (d.cache.finals.has(id) && d.durable())
       ? lookUp(id).pipe(
           Effect.flatMap((f) => sayFound(id, f)),
           Effect.catchAll(unavailable),
--- a/packages/controller/src/node.ts
+++ b/packages/controller/src/node.ts
@@ -222,6 +222,7 @@
       doubt,
       witness,
       verified: () => verified,
+      durable: () => !doubt.active && relics.all.length === 0,
       leads,
       mayBeNew: (id) => sessions.mayBeNew(id),
       types: knownTypes,
