--- a/packages/lab/test/loss.test.ts
+++ b/packages/lab/test/loss.test.ts
@@ -23,8 +23,11 @@
   .sort();
 
 const played: DayResult[] = [];
+/** Days that once had a fault: a node told `done` from memory after the loss, and ended before anybody could ask it. */
+const FOUND: Record<string, number[]> = { 'window-35': [106] };
+
 for (const name of files) {
-  for (const seed of [3, 4]) {
+  for (const seed of [3, 4, ...(FOUND[name] ?? [])]) {
     test(`rules hold: ${name} (seed ${seed})`, () => {
       const day = playDay(read(name), seed);
       played.push(day);
