--- /dev/null
+++ b/packages/lab/test/checks.test.ts
@@ -0,0 +1,152 @@
+/** Each check of the rules is seen to fail on what breaks it. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Luck } from '@lilacvalve/controller/support/luck';
+import { Links } from '../src/world/links.js';
+import { Rules, type Spec } from '../src/world/rules.js';
+import { StateService } from '../src/world/state.js';
+import { Time } from '../src/world/time.js';
+
+const spec: Spec = {
+  id: 'job-1',
+  team: 'red',
+  tasks: 3,
+  cpus: 4,
+  gpus: 0,
+  types: ['c8'],
+  zone: null,
+  oneZone: true,
+  spread: false,
+  spot: false,
+};
+const m = (id: string, over: Partial<{ type: string; zone: string; spot: boolean }> = {}) => ({
+  id,
+  type: 'c8',
+  zone: 'a',
+  spot: false,
+  ...over,
+});
+
+test('every rule is broken by what it forbids, and by nothing less', () => {
+  const table: [string, (r: Rules) => void][] = [
+    ['ran_twice', (r) => (r.start('job-1/0', m('m1'), 1), r.start('job-1/0', m('m2'), 2))],
+    ['wrong_place', (r) => r.start('job-1/0', m('m1', { type: 'g4' }), 1)],
+    ['wrong_place', (r) => r.start('job-1/0', m('m1', { spot: true }), 1)],
+    ['wrong_place', (r) => (r.start('job-1/0', m('m1'), 1), r.start('job-1/1', m('m2', { zone: 'b' }), 2))],
+    ['quota', (r) => [0, 1, 2].forEach((i) => r.start(`job-1/${i}`, m(`m${i}`), i))],
+    ['forgotten', (r) => (r.submitted('job-1', 201, 1), r.answered('job-1', 404, undefined, 2))],
+    ['forgotten', (r) => (r.submitted('job-1', 201, 1), r.submitted('job-1', 422, 2))],
+    ['invented', (r) => r.answered('job-2', 200, 'pending', 1)],
+    ['not_done', (r) => r.answered('job-1', 200, 'done', 1)],
+    [
+      'went_back',
+      (r) => (
+        r.askCancel('job-1'),
+        r.answered('job-1', 200, 'aborted', 1),
+        r.answered('job-1', 200, 'running', 2)
+      ),
+    ],
+    ['went_back', (r) => r.answered('job-1', 200, 'aborted', 1)],
+    [
+      'older_answer',
+      (r) => (r.answered('job-1', 200, 'running', 1, 2), r.answered('job-1', 200, 'running', 2, 1)),
+    ],
+    [
+      'ran_cancelled',
+      (r) => (
+        r.start('job-1/0', m('m1'), 1),
+        r.askCancel('job-1'),
+        r.answered('job-1', 200, 'aborted', 5),
+        r.check(5 + 36e6)
+      ),
+    ],
+    ['attempt_reused', (r) => (r.ordered('job-1/0', 7, 'm1'), r.ordered('job-1/0', 7, 'm2'))],
+    ['hire_reused', (r) => (r.hired('h-1', 'c8 a'), r.hired('h-1', 'g4 a'))],
+  ];
+  for (const [rule, breakIt] of table) {
+    const r = new Rules(35e6, { red: { cpus: 11, gpus: 0 } });
+    r.specs.set('job-1', spec);
+    breakIt(r);
+    assert.equal(r.broken.length, 1, `${rule}: ${r.broken.join('; ')}`);
+    assert.ok(r.broken[0]!.startsWith(`${rule}:`), r.broken[0]);
+  }
+  const sound = new Rules(35e6, { red: { cpus: 11, gpus: 0 } });
+  sound.specs.set('job-1', spec);
+  sound.ordered('job-1/0', 7, 'm1');
+  sound.ordered('job-1/0', 7, 'm1');
+  sound.start('job-1/0', m('m1'), 1);
+  sound.leave('job-1/0', 'm1');
+  sound.start('job-1/0', m('m2'), 2);
+  sound.submitted('job-1', 201, 1);
+  sound.answered('job-1', 200, 'running', 3, 1);
+  sound.answered('job-1', 200, 'running', 4, 1);
+  sound.hired('h-1', 'c8 a');
+  sound.hired('h-1', 'c8 a');
+  assert.deepEqual(sound.broken, []);
+});
+
+test('the state service loses what it is told to lose', () => {
+  const time = new Time(1);
+  const luck = new Luck(1);
+  const state = new StateService(time, luck, new Links(time, luck));
+  const set = (key: string, value: unknown): void => {
+    time.fork(state.port('n0').transact([], [{ set: key, value }], 1, 1000));
+    time.run(time.now + 1e6);
+  };
+  set('s/a', 1);
+  set('s/b', 1);
+  time.run(20e6);
+  set('s/a', 2);
+  const revision = state.revision;
+  state.lose({ kind: 'window', since: 10e6, leases: 'renewed' });
+  assert.deepEqual([state.keys.get('s/a')!.value, state.revision], ['1', revision - 1]);
+  state.lose({ kind: 'damage', prefix: 's/b', how: 'unreadable' });
+  assert.equal(state.keys.get('s/b')!.value, '{"c":7}');
+  set('s/a', 3);
+  state.lose({ kind: 'damage', prefix: 's/a', how: 'older' });
+  assert.equal(state.keys.get('s/a')!.value, '1');
+  state.lose({ kind: 'keys', prefix: 's/', part: 1 });
+  assert.equal(state.keys.size, 0);
+  assert.ok(state.revision > 0, 'no revision tells of it');
+  state.lose({ kind: 'all' });
+  assert.equal(state.revision, 0);
+});
+
+test('a link carries, holds, resets, delays and loses in its own direction only', () => {
+  const arrived: string[] = [];
+  const run = (how: Parameters<Links['set']>[2] | null): string => {
+    const time = new Time(2);
+    const links = new Links(time, new Luck(2));
+    if (how !== null) links.set('a', 'b', how, 5e6);
+    arrived.length = 0;
+    let there = -1;
+    let back = -1;
+    let failed = -1;
+    links.send(
+      'a',
+      'b',
+      () => {
+        there = time.now;
+        links.answer('a', 'b', () => (back = time.now));
+      },
+      () => (failed = time.now),
+    );
+    let other = -1;
+    links.send('b', 'a', () => (other = time.now));
+    time.run(30e6);
+    assert.ok(other >= 0 && other < 5000, 'the other direction is untouched');
+    return [
+      there < 0 ? 'lost' : there > 4e6 ? 'late' : there > 50_000 ? 'slow' : 'there',
+      back < 0 ? 'no answer' : 'answer',
+      failed < 0 ? '' : 'told',
+    ]
+      .join(' ')
+      .trim();
+  };
+  assert.equal(run(null), 'there answer');
+  assert.equal(run('held'), 'late answer');
+  assert.equal(run('reset'), 'lost no answer told');
+  assert.equal(run('slow'), 'slow answer');
+  assert.equal(run('unanswered'), 'there no answer');
+  assert.match(run('lossy'), /^(there|slow) answer$/);
+});
--- /dev/null
+++ b/packages/lab/test/loss.test.ts
@@ -0,0 +1,88 @@
+/**
+ * The state service loses data, in every way the experiments know, while controllers, machines and links fail: rules
+ * after each step, every job that a surviving controller knew at its end, every team served. The experiments' own
+ * command plays hundreds of seeds; here a few of each.
+ */
+import assert from 'node:assert/strict';
+import { readdirSync, readFileSync } from 'node:fs';
+import { test } from 'node:test';
+import { type Experiment, readExperiment } from '../src/experiment.js';
+import { type DayResult, faultsOf, playDay } from '../src/play.js';
+import { table } from '../src/report.js';
+import { shrink, smaller } from '../src/shrink.js';
+
+const DIR = 'packages/lab/experiments';
+const read = (name: string): Experiment => {
+  const x = readExperiment(readFileSync(`${DIR}/${name}.toml`, 'utf8'));
+  assert.ok(x._tag === 'Right', String(x._tag === 'Left' && x.left));
+  return x.right;
+};
+const files = readdirSync(DIR)
+  .filter((f) => f.endsWith('.toml'))
+  .map((f) => f.slice(0, -5))
+  .sort();
+
+const played: DayResult[] = [];
+for (const name of files) {
+  for (const seed of [3, 4]) {
+    test(`rules hold: ${name} (seed ${seed})`, () => {
+      const day = playDay(read(name), seed);
+      played.push(day);
+      assert.deepEqual(faultsOf(day), []);
+      assert.ok(day.losses > 0, 'the loss struck');
+      if (day.unwitnessed === 0) assert.equal(day.unfinished, 0);
+    });
+  }
+}
+
+test('the losses were noticed, rebuilt from, and work began again', () => {
+  const rebuilt = played.filter((d) => d.recovery.started !== null);
+  assert.ok(rebuilt.length >= files.length, `${rebuilt.length} of ${played.length} days`);
+  assert.ok(
+    played.some((d) => d.unwitnessed > 0),
+    'on some day nobody lived through it',
+  );
+  assert.ok(table(played).some((l) => l.startsWith('all known durable')));
+});
+
+test('the same experiment and seed give the same outcome', () => {
+  const once = JSON.stringify(playDay(read('empty-still'), 7));
+  assert.equal(JSON.stringify(playDay(read('empty-still'), 7)), once);
+  assert.notEqual(JSON.stringify(playDay(read('empty-still'), 8)), once);
+});
+
+test('an experiment that is wrong is refused with its field', () => {
+  for (const [text, field] of [
+    ['jobs = 3', 'name'],
+    ['name = "x"\njobs = 0', 'jobs'],
+    ['name = "x"\ntroubles = ["earthquake"]', 'troubles'],
+    ['name = "x"\nlosses = 1', 'losses'],
+    ['name = "x"\n[[loss]]\nat_s = [1, 2]\nkind = "some"', 'loss'],
+    ['name = ', 'not TOML'],
+  ] as const) {
+    const x = readExperiment(text);
+    assert.ok(x._tag === 'Left' && x.left.startsWith(field), `${field}: ${JSON.stringify(x)}`);
+  }
+});
+
+test('a failing day is shrunk to what it takes', () => {
+  const x = read('twice');
+  const tried: string[] = [];
+  const needs = (e: Experiment): boolean =>
+    (e.troubles.losses ?? []).some((l) => l.loss.kind === 'window') && e.jobs >= 7;
+  const least = shrink(x, needs, (w) => tried.push(w));
+  assert.equal(least.troubles.losses!.length, 1);
+  assert.equal(least.jobs, 7);
+  assert.ok(tried.length >= 3 && smaller(least).every((s) => !needs(s.experiment)));
+});
+
+test('days are judged by their rules, their jobs and their teams', () => {
+  const good = playDay(read('empty-still'), 9);
+  assert.deepEqual(faultsOf(good), []);
+  assert.deepEqual(faultsOf({ ...good, broken: ['ran_twice: x'] }), ['ran_twice: x']);
+  assert.equal(faultsOf({ ...good, unfinished: 2 }).length, 1);
+  assert.match(faultsOf({ ...good, served: { red: 0.49, blue: 0.5 } })[0]!, /team red: 0.49/);
+  // Where no memory was left, what rests on memory can't be asked, and all the rest can.
+  const alone = { ...good, unwitnessed: 1, broken: ['forgotten: a', 'ran_twice: b'] };
+  assert.deepEqual(faultsOf(alone), ['ran_twice: b']);
+});
--- a/tools/load.mjs
+++ b/tools/load.mjs
@@ -5,10 +5,10 @@
  */
 import { spawn } from 'node:child_process';
 import { mkdtempSync, readFileSync, writeFileSync } from 'node:fs';
-import * as net from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { Command } from 'commander';
+import { places, settingsOf } from './load/cluster.mjs';
 import { Fleet, Line } from './load/machines.mjs';
 import { State } from './load/state.mjs';
 
@@ -54,25 +54,9 @@
 const luck = { int: (n) => Math.floor(random() * n), between: (a, b) => a + random() * (b - a) };
 const sleep = (s) => new Promise((done) => setTimeout(done, s * 1000));
 
-const freePort = () =>
-  new Promise((done) => {
-    const s = net.createServer();
-    s.listen(0, '127.0.0.1', () => {
-      const { port } = s.address();
-      s.close(() => done(port));
-    });
-  });
-
 const state = new State({ rps: o.rps, writes: o.writes });
 const stateAddress = await state.listen();
-const nodes = [];
-for (let i = 0; i < o.nodes; i++)
-  nodes.push({
-    label: `node-${i}`,
-    zone: `zone-${i % 2}`,
-    listen: `127.0.0.1:${await freePort()}`,
-    peer: `127.0.0.1:${await freePort()}`,
-  });
+const nodes = await places(o.nodes);
 const fleet = new Fleet({
   kinds: [
     {
@@ -95,47 +79,16 @@
 const cloudAddress = await fleet.listen();
 
 const dir = mkdtempSync(join(tmpdir(), 'load-'));
-const settings = (n) => `label = "${n.label}"
-zone = "${n.zone}"
-listen = "${n.listen}"
-cluster_listen = "${n.peer}"
-${nodes
-  .filter((p) => p !== n)
-  .map((p) => `[[others]]\nlabel = "${p.label}"\nzone = "${p.zone}"\npeer_addr = "${p.peer}"`)
-  .join('\n')}
-[services]
-cloud = "${cloudAddress}"
-state = "${stateAddress}"
-[cluster]
-nodes = ${o.nodes}
-zones = ["zone-0", "zone-1"]
-skew_ms = 5.0
-[[cluster.teams]]
-name = "crew"
-[[cluster.objectives]]
-kind = "finished"
-class = "render"
-within_s = 350.0
-share = 0.99
-[cluster.workers]
-report_s = ${o.reportMs / 1000}
-lease_s = ${o.leaseMs / 1000}
-gang_wait_s = 35.0
-gang_peer_s = 5.0
-cancel_s = ${o.leaseMs / 1000 + 25}
-[cluster.state]
-rps = ${o.rps}.0
-write_rps = ${o.writes}.0
-value_kb = 32.0
-txn_ops = 24
-[cluster.cloud]
-rps = 12.0
-list_lag_s = 4.0
-[cluster.machine_limits]
-cores = ${o.cores}
-memory_mb = 350.0
-max_connections = 1945
-`;
+const settings = (n) =>
+  settingsOf(n, nodes, {
+    cloudAddress,
+    stateAddress,
+    reportMs: o.reportMs,
+    leaseMs: o.leaseMs,
+    rps: o.rps,
+    writes: o.writes,
+    cores: o.cores,
+  });
 for (const n of nodes) {
   const file = join(dir, `${n.label}.toml`);
   writeFileSync(file, settings(n));
--- a/tools/load/machines.mjs
+++ b/tools/load/machines.mjs
@@ -176,6 +176,7 @@
   begin(key, attempt) {
     const { fleet } = this;
     const t = { key, attempt, status: 'fetching', timer: null };
+    fleet.began(key, attempt, this.id);
     this.tasks.set(key, t);
     this.again = true;
     fleet.counts.started++;
@@ -185,6 +186,7 @@
         this.changed();
         t.timer = setTimeout(() => {
           fleet.counts.completed++;
+          fleet.finished.set(key, (fleet.finished.get(key) ?? 0) + 1);
           this.exit(t, 'done');
         }, fleet.runMs(key));
       },
@@ -209,6 +211,10 @@
     this.left = new Map(kinds.map((k) => [k.label, k.count]));
     this.n = 0;
     this.counts = {};
+    this.faults = [];
+    this.attempts = new Map();
+    /** How often each task came to its end: more than once is work done twice. */
+    this.finished = new Map();
     this.reset();
   }
 
@@ -226,6 +232,17 @@
     this.times = [];
   }
 
+  /** A task begins: where else it is, and whether its attempt was used on another machine, is a fault. */
+  began(key, attempt, machine) {
+    for (const w of this.workers.values()) {
+      const t = w.id === machine || !w.alive ? undefined : w.tasks.get(key);
+      if (t !== undefined && t.status !== 'ended') this.faults.push(`${key} on ${w.id} and ${machine}`);
+    }
+    const first = this.attempts.get(`${key}#${attempt}`);
+    if (first !== undefined && first !== machine) this.faults.push(`${key} attempt ${attempt} twice`);
+    this.attempts.set(`${key}#${attempt}`, machine);
+  }
+
   took(ms, status) {
     if (status === 200) this.times.push(ms);
     else if (status === 0) this.counts.unanswered++;
--- a/tools/load/state.mjs
+++ b/tools/load/state.mjs
@@ -37,8 +37,8 @@
     if (value === undefined) this.keys.delete(key);
     else this.keys.set(key, { value, stamp: this.revision, lease });
     this.sorted = null;
-    this.log.push({ key, value, stamp: this.revision });
-    if (this.log.length > 2 * HISTORY) this.log.splice(0, HISTORY);
+    this.log.push({ key, value, stamp: this.revision, lease, at: performance.now() });
+    if (this.log.length > 20 * HISTORY) this.log.splice(0, HISTORY);
   }
 
   arm(id, ttl) {
@@ -71,6 +71,26 @@
     if (!on) this.notify();
   }
 
+  /** Loses everything (`ms` null), or what came in the last so many milliseconds; leases go with their keys. */
+  lose(ms) {
+    const until = ms === null ? Number.NEGATIVE_INFINITY : performance.now() - ms;
+    for (const l of this.leases.values()) clearTimeout(l.timer);
+    this.leases.clear();
+    if (ms === null) this.nextLease = 1;
+    // Further back than the history reaches, nothing is left.
+    const whole = this.log.length > 0 && this.log[0].stamp <= 1;
+    const kept = whole ? this.log.filter((e) => e.at <= until) : [];
+    this.keys = new Map();
+    this.sorted = null;
+    this.log = kept;
+    this.revision = kept[kept.length - 1]?.stamp ?? 0;
+    for (const e of kept) {
+      if (e.value === undefined || e.lease !== null) this.keys.delete(e.key);
+      else this.keys.set(e.key, { value: e.value, stamp: e.stamp, lease: null });
+    }
+    this.notify();
+  }
+
   page(prefix, after, limit) {
     this.sorted ??= [...this.keys.keys()].sort();
     const entries = [];
--- a/tools/regress.mjs
+++ b/tools/regress.mjs
@@ -1,13 +1,15 @@
 /**
  * Plays the regression that the operators ask for and compares it with the base figures in tools/regress.toml:
- * one table of site, base, now, difference, the heaviest day's processor time, and what broke. Exit status 1 on a
- * drop over the allowed one, a broken rule or a failed day; 2 when the bench could not be run.
+ * one table of site, base, now, difference, the heaviest day's processor time, the least served class of jobs, and what
+ * broke. Exit status 1 on a drop over the allowed one, a broken rule or a failed day (a class less than half served
+ * among them); 2 when the bench could not be run.
  */
 import { spawn } from 'node:child_process';
 import { existsSync, readdirSync, readFileSync, writeFileSync } from 'node:fs';
 import { dirname, join, resolve } from 'node:path';
 import { Command, InvalidArgumentError } from 'commander';
 import { parse, stringify } from 'smol-toml';
+import { FAIL, leastServed, servedOfAims, servedOfReport, WARN } from './served.mjs';
 
 const count = (text) => {
   const n = Number(text);
@@ -25,11 +27,28 @@
   .option('--jobs <n>', 'days played at once', count)
   .option('--why <text>', "goes into the bench's journal", 'regression')
   .option('--read <ids...>', 'play nothing: compare these journal entries')
+  .option('--reports <files...>', 'play nothing: what runs with --report say of each class')
   .option('--take', 'afterwards write what was played as the new base figures')
   .parse();
 const options = cli.opts();
 const bench = resolve(cli.args[0]);
 
+if (options.reports) {
+  let failed = false;
+  for (const file of options.reports) {
+    const report = JSON.parse(readFileSync(file, 'utf8'));
+    for (const c of servedOfReport(report)) {
+      const part = Math.min(c.started, c.ended);
+      failed ||= part < FAIL;
+      const mark = part < FAIL ? ' FAILED' : part < WARN ? ' low' : '';
+      process.stdout.write(
+        `${report.scenario} ${report.machines} machines, ${c.name}: ${c.jobs} jobs, started ${c.started.toFixed(3)}, ended ${c.ended.toFixed(3)}${mark}\n`,
+      );
+    }
+  }
+  process.exit(failed ? 1 : 0);
+}
+
 /** `drop`: the largest allowed; `[[site]]`: name, file relative to the base's `root`, score, and figures by day. */
 const readBase = () => {
   let base;
@@ -92,11 +111,19 @@
     // Two days of six have no score of their own to compare with: the same days of the base do.
     const was = whole ? s.score : days.length > 0 ? mean(days.map((d) => s.days[d.name])) : null;
     const now = whole ? e.score : days.length > 0 ? mean(days.map((d) => d.score)) : null;
+    const least = e.days
+      .flatMap((d) => {
+        const c = leastServed(servedOfAims(d.aims));
+        return c === null ? [] : [{ day: d.name, ...c }];
+      })
+      .sort((a, b) => a.part - b.part)[0];
+    const unserved = least !== undefined && least.part < FAIL;
     const broken = e.days.flatMap((d) => [
       ...Object.keys(d.rules ?? {}).map((r) => `${d.name}: ${r}`),
       ...(d.fault ? [`${d.name}: ${d.fault.slice(0, 60)}`] : []),
     ]);
     const drop = e.cmd === 'score' && was !== null && now < was - base.drop;
+    if (unserved) broken.push(`${least.day}: ${least.name} less than half served`);
     bad ||= broken.length > 0 || drop;
     const heaviest = [...e.days].sort((a, b) => (spent(b) ?? 1e9) - (spent(a) ?? 1e9))[0];
     const seconds = heaviest ? spent(heaviest) : null;
@@ -107,6 +134,9 @@
       now?.toFixed(3) ?? '-',
       was === null ? '-' : `${now < was ? '' : '+'}${(now - was).toFixed(3)}${drop ? ' DROP' : ''}`,
       heaviest ? `${seconds === null ? 'over' : Math.round(seconds)} s ${heaviest.name}` : '-',
+      least === undefined
+        ? '-'
+        : `${least.part.toFixed(2)}${least.part < WARN ? ' LOW' : ''} ${least.name}, ${least.day}`,
       broken.join('; ') || 'none',
     ]);
     if (options.take && whole) {
@@ -115,7 +145,7 @@
     }
   }
 }
-const head = ['site', 'days', 'base', 'now', 'difference', 'heaviest day', 'broken'];
+const head = ['site', 'days', 'base', 'now', 'difference', 'heaviest day', 'least served', 'broken'];
 const widths = head.map((h, i) => Math.max(h.length, ...rows.map((r) => r[i].length)));
 for (const r of [head, ...rows])
   process.stdout.write(
