A view's age bounds every answer to a report, also under a right by lease; what the others know keeps a hold alive

Two holes of the bound on a hold: a leader whose lease was given its full time again, or whose extends succeeded while its reads failed, renewed workers' leases by a view of any age; and what users had cancelled was not stopped while the store was doubted. Now one pure function decides (leadership/hold.ts): right or hold, each only while every cancellation told more than cancel_s - lease_s - margin ago is known. A blind leader gives way. A listing older than the view that another read brought meanwhile is thrown away.

What is known reaches further than the own read: every beat names the revision its sender has seen; if all others name none after the view's, nothing was confirmed that it lacks. A plain outage longer than cancel_s costs no leases then.

--- a/packages/controller/src/jobs/feed.ts
+++ b/packages/controller/src/jobs/feed.ts
@@ -47,6 +47,8 @@
   readAsOf = Number.NEGATIVE_INFINITY as Micros;
   /** Takes every change that this view takes; null: nobody does. */
   onChanges: ((changes: readonly Change[]) => void) | null = null;
+  /** Revisions of what this node wrote as leader, and may not have read yet. */
+  private own: number[] = [];
   private batch: Deferred.Deferred<void, StateFailure> | null = null;
   private lastRead = Number.NEGATIVE_INFINITY;
 
@@ -56,8 +58,25 @@
     private readonly clock: () => Micros,
     private readonly leading: () => boolean,
     private readonly doubt: Doubt,
+    /** A leader that answers reports must have read more lately than that. */
+    private readonly mayLag: Micros,
   ) {}
 
+  /** What this node wrote as leader is committed: nothing in it is news to its view. */
+  committed(revision: number): void {
+    this.own = [...this.own.filter((r) => r > this.cache.revision), revision].sort((a, b) => a - b);
+  }
+
+  /**
+   * The revision up to which nothing is in the store that this node does not know: its view's, and what it wrote as leader
+   * right after. What it wrote for users is left out: another may have told them of it, and this view lacks it.
+   */
+  completeTo(): number {
+    let to = this.cache.revision;
+    for (const r of this.own) if (r === to + 1) to = r;
+    return to;
+  }
+
   /** The same, without a wait for others to share the read. */
   readonly refreshNow: Effect.Effect<void, StateFailure> = Effect.suspend(() => this.read(0));
 
@@ -201,6 +220,8 @@
         return Effect.all([this.store.follow(ROOT, base, 0), this.recentFinals(base)]).pipe(
           Effect.flatMap(([c, ended]) => {
             if (c.tooOld) return Effect.suspend(() => this.reload);
+            // Another read has brought a newer view meanwhile, and somebody may have been answered by it.
+            if (this.loaded && this.cache.revision > c.revision) return this.believe(asked);
             this.cache.load(
               lists.flatMap((l) => l.entries),
               base,
@@ -256,7 +277,9 @@
       // Shared reads for users keep a follower up as well as its watch would: one of the two is enough.
       const left = this.readAsOf + millis(WATCH_GAP_MS.follower) - this.clock();
       if (this.loaded && !this.leading() && left > 0) return Effect.sleep(toMillis(left));
-      return this.read(this.loaded ? WATCH_MS : 0).pipe(
+      const held =
+        this.leading() && this.mayLag > 0 ? Math.min(WATCH_MS, toMillis(this.mayLag / 4)) : WATCH_MS;
+      return this.read(this.loaded ? held : 0).pipe(
         Effect.matchEffect({
           onSuccess: () => Effect.sleep(WATCH_GAP_MS[this.part()]),
           onFailure: () => Effect.sleep(400),
--- a/packages/controller/src/leadership/leadership.ts
+++ b/packages/controller/src/leadership/leadership.ts
@@ -15,6 +15,7 @@
 import { CALM, FOUNDED, INCARNATION, LEADER, LIFE, REBUILD, SETTLED, TERM } from '../jobs/keys.js';
 import type { StateFailure, Write } from '../state-store/client.js';
 import type { Contacts } from './contacts.js';
+import { holdEnds, mayAnswer, mayLag } from './hold.js';
 import type { Peers } from './peers.js';
 import type { Settings } from '../settings/settings.js';
 import { Priority } from '../state-store/budget.js';
@@ -23,7 +24,8 @@
 const MARGIN = millis(150);
 /** How long a reign waits for its lease to be extended again after its right ran out. */
 const LINGER = seconds(8);
-const HOLD_MARGIN = millis(1500);
+/** How long a leader that couldn't read stays away. */
+const BLIND = seconds(10);
 /** How long a node that workers don't reach leaves a vacant lead to a peer that they do reach. */
 const PATIENCE = millis(1500);
 
@@ -48,6 +50,9 @@
   private shunUntil = Number.NEGATIVE_INFINITY;
   private readonly ttl: Micros;
   private holds = false;
+  /** See `knownAsOf`; of which life of the store's data. */
+  private coveredAsOf = Number.NEGATIVE_INFINITY;
+  private coveredIn = 0;
   private readonly begun = Effect.runSync(Queue.sliding<void>(1));
   /** Completes when a reign has begun, or now and then. */
   readonly awaitReign = orTick(Queue.take(this.begun), 1000);
@@ -65,7 +70,10 @@
     private readonly leaveView: () => void,
     private readonly feed: Feed,
     private readonly cache: JobCache,
-    private readonly peers: Pick<Peers, 'confirmedUntil' | 'highestTerm' | 'candidates' | 'allAsked'>,
+    private readonly peers: Pick<
+      Peers,
+      'confirmedUntil' | 'highestTerm' | 'candidates' | 'allAsked' | 'nothingAfter'
+    >,
     private readonly contacts: Contacts,
     private readonly clock: () => Micros,
   ) {
@@ -90,9 +98,12 @@
   answering(): Reign | null {
     const { reign } = this;
     if (reign === null) return null;
-    const at = this.clock();
-    if (at < this.rightUntil && !this.doubt.active) return reign;
-    return at < this.holdEnds() && at < this.peers.confirmedUntil(reign.term) ? reign : null;
+    const standing = {
+      rightUntil: this.doubt.active ? Number.NEGATIVE_INFINITY : this.rightUntil,
+      confirmedUntil: this.peers.confirmedUntil(reign.term),
+      knownAsOf: this.knownAsOf(),
+    };
+    return mayAnswer(this.clock(), standing, this.settings.workers, this.ttl) === null ? null : reign;
   }
 
   /** The reign is not over, though it may be without right for the moment. */
@@ -100,10 +111,22 @@
     return this.reign?.term === term;
   }
 
-  /** A cancellation accepted elsewhere after our last read must still take effect in time. */
-  private holdEnds(): Micros {
-    const w = this.settings.workers;
-    return plus(this.feed.readAsOf, w.cancel - w.lease * (1 + 2 * DRIFT) - HOLD_MARGIN);
+  /**
+   * Every cancellation confirmed before this moment is in this node's view: by its own read, or because each of the
+   * others has said, asked since, that it knows of no change later than this view's. Whoever confirms a cancellation has
+   * seen its revision, and an incarnation's view never goes back, so what once held stays true.
+   */
+  private knownAsOf(): number {
+    const { incarnation, life } = this.doubt;
+    if (life !== this.coveredIn) {
+      this.coveredIn = life;
+      this.coveredAsOf = Number.NEGATIVE_INFINITY;
+    }
+    if (incarnation !== null && this.feed.loaded) {
+      const asOf = this.peers.nothingAfter(incarnation.id, this.feed.completeTo());
+      if (asOf > this.coveredAsOf) this.coveredAsOf = asOf;
+    }
+    return Math.max(this.feed.readAsOf, this.coveredAsOf);
   }
 
   /** The node to send workers to, as far as is known. */
@@ -144,6 +167,13 @@
   /** On orderly stop. */
   readonly release: Effect.Effect<void> = Effect.suspend(() => this.giveWay('stop', 0));
 
+  /** Extends that succeed while reads fail would keep a lead that may answer no report: another may do better. */
+  private readonly giveWayIfBlind = Effect.suspend(() =>
+    this.acting() !== null && this.answering() === null && mayLag(this.settings.workers) > 0
+      ? this.giveWay('reads fail', BLIND)
+      : Effect.void,
+  );
+
   /** Gives way when workers that reached this node reach only a peer now. */
   private readonly giveWayIfCutOff = Effect.suspend(() => {
     const reign = this.acting();
@@ -342,11 +372,13 @@
         if (!this.holds) yield* info('right ran out', { term: this.reign.term });
         this.holds = true;
         // The lease may still be ours once the service is back; without it, and past any hold, it is over.
-        if (this.clock() >= Math.max(this.holdEnds(), this.rightUntil + LINGER)) this.end();
+        const held = holdEnds({ knownAsOf: this.knownAsOf() }, this.settings.workers);
+        if (this.clock() >= Math.max(held, this.rightUntil + LINGER)) this.end();
       } else this.holds = false;
       if (this.reign !== null) {
         yield* this.renew;
         yield* this.giveWayIfCutOff;
+        yield* this.giveWayIfBlind;
         yield* Effect.sleep(toMillis(this.ttl / 5));
       } else {
         yield* this.campaign.pipe(Effect.catchAll(() => Effect.void));
--- a/packages/controller/src/leadership/peers.ts
+++ b/packages/controller/src/leadership/peers.ts
@@ -15,6 +15,7 @@
 import { tick } from '@lilacvalve/base/tick';
 import type { FleetNews } from '../fleet/model.js';
 import type { Peer, Settings } from '../settings/settings.js';
+import { nothingAfter, type Said } from './hold.js';
 
 export interface Beat {
   readonly from: string;
@@ -174,6 +175,20 @@
     return weakest === undefined ? (Number.NEGATIVE_INFINITY as Micros) : plus(weakest, CONFIRM);
   }
 
+  /** See `nothingAfter`; with no other controller this moment. */
+  nothingAfter(incarnation: string, revision: number): number {
+    const { peers, nodes } = this.settings;
+    if (peers.length < nodes - 1) return Number.NEGATIVE_INFINITY;
+    const said = peers.map((p): Said | null => {
+      const h = this.answers.get(p.label);
+      const life = h?.beat.life;
+      if (!h?.beat.loaded || !life) return null;
+      const revision = Math.max(life.revision, life.read);
+      return { asked: h.asked, incarnation: life.incarnation, revision };
+    });
+    return Math.min(this.clock(), nothingAfter(said, incarnation, revision));
+  }
+
   /** So many nodes know `term`, this one included, that every majority has one of them. */
   acknowledged(term: number): boolean {
     let n = 1;
--- a/packages/controller/src/node.ts
+++ b/packages/controller/src/node.ts
@@ -15,6 +15,7 @@
 import { Feed } from './jobs/feed.js';
 import { TERM, TYPES } from './jobs/keys.js';
 import { Contacts } from './leadership/contacts.js';
+import { mayLag } from './leadership/hold.js';
 import { Leadership } from './leadership/leadership.js';
 import { type PeerPort, Peers } from './leadership/peers.js';
 import { Admission } from './overload/admission.js';
@@ -78,7 +79,8 @@
   );
   const doubt: Doubt = new Doubt(clock, () => leadership.leads());
   const store = new GuardedStore(ports.store, doubt, clock);
-  const feed: Feed = new Feed(cache, store, clock, () => leadership.acting() !== null, doubt);
+  const leads = (): boolean => leadership.acting() !== null;
+  const feed: Feed = new Feed(cache, store, clock, leads, doubt, mayLag(settings.workers));
   const contacts = new Contacts(settings);
   const served = servedBy(store, clock);
   const peers: Peers = new Peers(
@@ -168,7 +170,6 @@
     contacts,
     clock,
   );
-  const leads = (): boolean => leadership.acting() !== null;
   let types: readonly MachineType[] | null = null;
   const knownTypes = (): readonly MachineType[] | null =>
     types ?? (cache.types as readonly MachineType[] | null);
--- a/packages/controller/src/scheduler/records.ts
+++ b/packages/controller/src/scheduler/records.ts
@@ -142,6 +142,7 @@
         if (!r.right.ok && unsure && r.right.failed.includes(probe) && !r.right.failed.includes(TERM)) {
           return { ok: true, revision: null } as const;
         }
+        if (r.right.ok) t.feed.committed(r.right.revision);
         return r.right;
       }
       if (r.left._tag === 'NoAnswer') unsure = true;
--- a/packages/controller/src/workers/book.ts
+++ b/packages/controller/src/workers/book.ts
@@ -582,6 +582,10 @@
     }
   }
 
+  cancelled(job: string): boolean {
+    return this.cache.jobs.get(job)?.withdrawn === true;
+  }
+
   /** Services with GPUs of which all replicas run, one of them started since `day`, and did not when last asked. */
   complete(day: Micros): Job[] {
     const out: Job[] = [];
--- a/packages/controller/src/workers/duty.ts
+++ b/packages/controller/src/workers/duty.ts
@@ -148,9 +148,15 @@
     }
     if (d.book.term !== reign.term) return answer(null);
     const { book } = d;
-    // What was durable may not be any more: only the lease is renewed until that is known.
-    if (doubt.active)
-      return answer({ term: reign.term, bodies: reports.map((r) => (r === null ? null : '')) });
+    // What was durable may not be any more: only the lease is renewed until that is known. What users cancelled is stopped
+    // all the same: its time runs on, and whoever renews leases must not carry it past that.
+    if (doubt.active) {
+      const cancelled = (id: string): boolean => book.cancelled(id);
+      return answer({
+        term: reign.term,
+        bodies: reports.map((r) => renewal(r, { term: reign.term, cancelled })),
+      });
+    }
     const machines = reports.map((r) => (r === null ? null : book.report(r, at)));
     const finish = (): void => {
       const still = leadership.answering();
