--- /dev/null
+++ b/packages/lab/test/known-red.test.ts
@@ -0,0 +1,106 @@
+// Tests of the check around the test runner: what KNOWN-RED.txt lists is passed over, and nothing else.
+import assert from 'node:assert/strict';
+import { spawnSync } from 'node:child_process';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join, resolve } from 'node:path';
+import { test } from 'node:test';
+
+const RED = `test('red', () => { throw new Error('a fault'); });`;
+const GREEN = `test('green', () => {});`;
+const OTHER = `test('other', () => { throw new Error('another fault'); });`;
+const NESTED = `test('parent', async (t) => { await t.test('red', () => { throw new Error('a fault'); }); });`;
+const LATER = `test('later', () => {});`;
+const WAIT = `await new Promise((r) => setTimeout(r, 300));`;
+const KILLED = `test('killed', async () => { ${WAIT} process.kill(process.pid, 'SIGKILL'); await new Promise(() => {}); });`;
+const STRAY = `setTimeout(() => { throw new Error('stray'); }, 50);`;
+const LINE = 'red | a fault not mended | 27\n';
+
+const runs: [what: string, files: string[], list: string | null, ok: boolean, says: RegExp][] = [
+  ['no file, all pass', [GREEN, LATER], null, true, /ℹ pass 2\nℹ fail 0\n/],
+  ['no file, one fails', [GREEN, RED], null, false, /ℹ pass 1\nℹ fail 1\n/],
+  ['no file, a test file crashes', [GREEN, `throw new Error('at load');`], null, false, /ℹ fail 1\n/],
+  [
+    'a listed test fails',
+    [RED + GREEN, LATER],
+    LINE,
+    true,
+    /ℹ fail 1\n[^]*known red: "red" \(a fault not mended; issue 27\)/,
+  ],
+  ['a listed subtest fails', [NESTED, GREEN], LINE, true, /known red: "red"/],
+  ['a listed test passes', [`test('red', () => {});`], LINE, false, /"red" .* does not fail/],
+  [
+    'a listed test is skipped',
+    [`test('red', { skip: true }, () => {});`],
+    LINE,
+    false,
+    /"red" .* does not fail/,
+  ],
+  ['a listed test is not found', [GREEN], LINE, false, /"red" .* was found 0 times/],
+  ['two tests have the listed name', [RED, RED], LINE, false, /"red" .* was found 2 times/],
+  ['an unlisted test fails beside it', [RED + OTHER], LINE, false, /beyond what/],
+  [
+    'an unlisted subtest fails beside it',
+    [NESTED.replace('await', `await t.test('o', () => { throw 1; }); await`)],
+    LINE,
+    false,
+    /beyond what/,
+  ],
+  ['an unlisted test fails in another file', [RED, OTHER], LINE, false, /beyond what/],
+  ['its file dies later', [RED + KILLED + LATER], LINE, false, /beyond what/],
+  [
+    'its file leaves with 1 later',
+    [RED + `test('left', async () => { ${WAIT} process.reallyExit(1); });`],
+    LINE,
+    false,
+    /beyond what/,
+  ],
+  [
+    'its file ends with another code',
+    [RED + `process.on('exit', () => (process.exitCode = 9));`],
+    LINE,
+    false,
+    /beyond what/,
+  ],
+  ['its file throws after its tests', [RED + STRAY], LINE, false, /stray/],
+  [
+    'it is cut short',
+    [`test('red', { timeout: 20 }, () => new Promise((r) => setTimeout(r, 200)));`],
+    LINE,
+    false,
+    /beyond what/,
+  ],
+  [
+    'a fourth line',
+    [['red', 'b', 'c', 'd'].map((n) => RED.replace('red', n)).join('\n')],
+    LINE + 'b | c | 1\nc | c | 1\nd | c | 1\n',
+    false,
+    /4 lines, at most 3/,
+  ],
+  ['a line without an issue', [RED], 'red | a fault not mended\n', false, /is not: test name/],
+  ['an empty line', [RED], LINE + '\n\n', false, /is not: test name/],
+];
+
+test('a failure that is listed is passed over, and nothing else is', async (t) => {
+  for (const [what, files, list, ok, says] of runs)
+    await t.test(what, () => {
+      const dir = mkdtempSync(join(tmpdir(), 'known-red-'));
+      try {
+        files.forEach((f, i) =>
+          writeFileSync(join(dir, `${i}.test.cjs`), `const test = require('node:test');\n${f}\n`),
+        );
+        if (list !== null) writeFileSync(join(dir, 'KNOWN-RED.txt'), list);
+        const env = { ...process.env };
+        delete env.NODE_TEST_CONTEXT; // A runner inside a runner's test runs nothing.
+        const done = spawnSync(process.execPath, [resolve('tools/known-red.mjs'), '.'], {
+          cwd: dir,
+          env,
+          encoding: 'utf8',
+        });
+        assert.equal(done.status, ok ? 0 : 1, done.stdout + done.stderr);
+        assert.match(done.stdout, says);
+      } finally {
+        rmSync(dir, { recursive: true });
+      }
+    });
+});
