A node that holds a calendar answers whoever rebuilds the store

Its view was never told: the calendar's encoding begins a page only where the one before is full, and between controllers pages have no bound, so encoding any calendar threw, and with it the whole answer.

--- a/packages/controller/src/calendar/codec.ts
+++ b/packages/controller/src/calendar/codec.ts
@@ -60,10 +60,11 @@
   const items = itemsOf(c);
   const digest = digestOf(c.version, c.until, c.notice, items);
   const pages: { key: string; value: Item[] }[] = [];
-  let size = Number.POSITIVE_INFINITY;
+  let size = 0;
   for (const item of items) {
     const n = JSON.stringify(item).length + 1;
-    if (size + n > bytes) {
+    // Between controllers there is no bound on a page: none that is too long must not mean that none is begun.
+    if (pages.length === 0 || size + n > bytes) {
       pages.push({ key: `${CALENDAR_PAGE}${c.version}-${digest.slice(0, 8)}-${pages.length}`, value: [] });
       size = 2;
     }
--- a/packages/controller/test/calendar.test.ts
+++ b/packages/controller/test/calendar.test.ts
@@ -8,6 +8,7 @@
 import { cutoffRank, type Pace, sayOf, slotsOf, timeLeft } from '../src/calendar/slack.js';
 import { tieOf } from '../src/calendar/tie.js';
 import { decodeJob, encodeJob } from '../src/jobs/codec.js';
+import { decodeTold, encodeTold } from '../src/rebuild/codec.js';
 import { mergeClaims } from '../src/rebuild/merge.js';
 import { job } from './support/job.js';
 import { Luck } from './support/luck.js';
@@ -80,6 +81,17 @@
   }
 });
 
+test('what a node remembers of the calendar reaches whoever rebuilds the store, with all else that it tells', () => {
+  const luck = new Luck(3);
+  const retired = makeCalendar({ version: 9, until: seconds(0), notice: seconds(0), cutoffs: [] }, []);
+  for (const calendar of [null, retired, ...Array.from({ length: 50 }, (_, n) => drawn(luck, n + 1))]) {
+    const tally = { done: luck.int(9), risked: 1, missed: 0, cancelled: 2 };
+    const remembered = { calendar, tallies: new Map([['c0@3', tally]]), shown: new Map() };
+    const told = { heads: [], claims: [], finals: [], next: null, calendar: remembered };
+    assert.deepEqual(decodeTold(encodeTold(told)), told);
+  }
+});
+
 const one = (at: number) =>
   makeCalendar(
     {
--- a/packages/lab/test/cutoffs.test.ts
+++ b/packages/lab/test/cutoffs.test.ts
@@ -8,7 +8,7 @@
 
 for (const [name, seeds] of [
   ['cutoffs', [3]],
-  ['cutoffs-lost', [2]],
+  ['cutoffs-lost', [2, 14]],
   ['cutoffs-keys', [4]],
 ] as const)
   for (const seed of seeds)
