--- a/packages/controller/src/jobs/cache.ts
+++ b/packages/controller/src/jobs/cache.ts
@@ -53,6 +53,9 @@
 } from './model.js';
 
 const ENDS_KEPT = 1000;
+/** As it was accepted: nothing has become of it. */
+const isNew = (j: Job): boolean =>
+  j.folded === 0 && j.attempt === 0 && j.done.size + j.placed.size === 0 && !j.withdrawn;
 
 export interface LeaderEntry {
   readonly node: string;
@@ -113,6 +116,8 @@
   /** Packs of rebuilt jobs, and the pack that still lists a job. */
   readonly packs = new Map<string, { readonly stamp: number; readonly ids: readonly string[] }>();
   readonly packOf = new Map<string, string>();
+  /** Jobs whose own key says less than their pack; see `setJob`. */
+  private readonly behind = new Set<string>();
   /** Parts of the final states' pages; see `overKey`. */
   readonly overParts = new Set<string>();
   /** Jobs that only workers name. */
@@ -138,7 +143,8 @@
 
   /** Forgets all but final states: those hold in any incarnation. */
   clear(): void {
-    for (const m of [this.jobs, this.tail, this.incarnations, this.packs, this.packOf]) m.clear();
+    for (const m of [this.jobs, this.tail, this.incarnations, this.packs, this.packOf, this.behind])
+      m.clear();
     this.machines?.clear();
     this.calendars.clear();
     this.wards.clear();
@@ -318,7 +324,7 @@
       when.push({ key, stamp: pack.stamp });
       const rest = pack.ids.flatMap((id) => {
         const job = this.jobs.get(id);
-        return job && !gone.has(id) && job.stamp === 0 ? [job] : [];
+        return job && !gone.has(id) && (job.stamp === 0 || this.behind.has(id)) ? [job] : [];
       });
       then.push(rest.length === 0 ? { delete: key } : { set: key, value: encodePack(rest) });
     }
@@ -328,6 +334,13 @@
   private setJob(id: string, job: Job): void {
     const old = this.jobs.get(id);
     if (old && old.stamp >= job.stamp) return;
+    // Accepted by a late transaction, after a rebuild had found it in somebody's memory: what the pack says of it holds.
+    if (old?.stamp === 0 && isNew(job) && !isNew(old)) {
+      old.stamp = job.stamp;
+      this.behind.add(id);
+      return;
+    }
+    this.behind.delete(id);
     if (old) this.unindex(old);
     // What the key does not include yet stands in the tail.
     for (const r of this.tail.values()) {
@@ -346,6 +359,7 @@
   private drop(id: string): void {
     const old = this.jobs.get(id);
     if (!old) return;
+    this.behind.delete(id);
     this.unindex(old);
     this.jobs.delete(id);
     this.changed();
--- a/packages/controller/src/jobs/feed.ts
+++ b/packages/controller/src/jobs/feed.ts
@@ -212,6 +212,7 @@
   /** Reads everything anew, then what changed meanwhile: only then is the view whole. */
   private readonly reload: Effect.Effect<void, StateFailure> = Effect.suspend(() => {
     const asked = this.clock();
+    const { life } = this.doubt;
     // The accounts last: a checkpoint read before the records could lack some that are deleted meanwhile.
     const prefixes = [LIFE, CALENDAR, RECORD, PACK, ACTIVE, LEADER, TERM, TYPES, ACCOUNTS];
     return Effect.forEach(prefixes, (prefix) => this.all(prefix)).pipe(
@@ -220,8 +221,9 @@
         return Effect.all([this.store.follow(ROOT, base, 0), this.recentFinals(base)]).pipe(
           Effect.flatMap(([c, ended]) => {
             if (c.tooOld) return Effect.suspend(() => this.reload);
-            // Another read has brought a newer view meanwhile, and somebody may have been answered by it.
-            if (this.loaded && this.cache.revision > c.revision) return this.believe(asked);
+            if (this.doubt.life !== life) return Effect.fail(doubted);
+            // Another read was faster. Going back, the view would miss what a follow on its way says it has already.
+            if (this.loaded && c.revision <= this.cache.revision) return this.believe(asked);
             this.cache.load(
               lists.flatMap((l) => l.entries),
               base,
--- a/packages/controller/src/rebuild/duty.ts
+++ b/packages/controller/src/rebuild/duty.ts
@@ -27,6 +27,7 @@
   RECORD,
   SETTLED,
   TERM,
+  wardKey,
 } from '../jobs/keys.js';
 import type { FinalState, Job } from '../jobs/model.js';
 import type { Reign } from '../leadership/leadership.js';
@@ -169,7 +170,15 @@
     const key = activeKey(job.spec.id);
     steps.push({ when: asKnown(job.spec.id, stamp), then: [{ set: key, value: encodeJob(job, seq) }] });
   }
-  groups(plan.missing, packed, bytes, (j) => encodeJob(j, seq)).forEach((jobs, n) => {
+  // One that a user may be cancelling as a ward: a late cancellation must find its key, since a pack would not stop it.
+  const isWard = (j: Job): boolean => r.cache.wards.has(j.spec.id);
+  for (const job of plan.missing.filter(isWard)) {
+    const { id } = job.spec;
+    const then: Write[] = [{ set: activeKey(id), value: encodeJob(job, seq) }, { delete: wardKey(id) }];
+    steps.push({ when: asKnown(id, 0), then });
+  }
+  const packable = plan.missing.filter((j) => !isWard(j));
+  groups(packable, packed, bytes, (j) => encodeJob(j, seq)).forEach((jobs, n) => {
     const key = `${PACK}${run}-${String(n).padStart(6, '0')}`;
     const free = jobs.flatMap((j) => [
       { key: activeKey(j.spec.id), stamp: 0 },
@@ -294,11 +303,13 @@
 ): Effect.Effect<boolean> =>
   Effect.suspend(() => {
     const there = r.cache.rebuild;
+    // Gone: an earlier copy of this was carried out. Said anew under "not there", a late one would hold for good.
+    if (there === null) return Effect.succeed(true);
     const all = r.settings.peers.every((p) => g.heard.has(p.label));
     const value: Omit<Rebuilding, 'stamp'> = { phase, heard: [...g.heard].sort() };
     const then: Write[] = [phase === 'wait' && all ? { delete: REBUILD } : { set: REBUILD, value }, ...more];
     return Effect.zipLeft(
-      apply(r, { when: [{ key: REBUILD, stamp: there?.stamp ?? 0 }], then }),
+      apply(r, { when: [{ key: REBUILD, stamp: there.stamp }], then }),
       Effect.ignore(r.feed.refresh),
     );
   });
--- a/packages/controller/src/scheduler/records.ts
+++ b/packages/controller/src/scheduler/records.ts
@@ -86,8 +86,8 @@
       continue;
     }
     if (put(id, { ...jobs.get(id), start: { attempt: s.attempt, on: s.on } })) {
-      // Conditional on the job's key: a job withdrawn in this moment is not started.
-      when.push({ key: activeKey(id), stamp: s.job.stamp });
+      // Conditional on the job's key: a job withdrawn in this moment, or over by the time, is not started.
+      when.push(...asKnown(id, s.job.stamp));
     }
   }
   const started = new Map<string, number>();
@@ -103,7 +103,7 @@
     const id = taker.spec.id;
     if (!put(id, { ...jobs.get(id), lend })) continue;
     // A service that is withdrawn in this moment takes nothing.
-    when.push({ key: activeKey(id), stamp: taker.stamp });
+    when.push(...asKnown(id, taker.stamp));
     let all = true;
     for (const [lender, n] of taken) {
       const c = jobs.get(lender);
@@ -154,6 +154,7 @@
 const stillKnown = (t: Turn, key: string, when: readonly Condition[]): boolean => {
   const wanted = when.find((c) => c.key === key)?.stamp;
   if (wanted === undefined || wanted === 0) return false;
+  if (key === ACCOUNTS) return t.cache.checkpoint.stamp === wanted;
   if (key.startsWith(ACTIVE)) return t.cache.jobs.get(key.slice(ACTIVE.length))?.stamp === wanted;
   return key.startsWith(RECORD) && t.cache.tail.get(Number(key.slice(RECORD.length)))?.stamp === wanted;
 };
@@ -172,7 +173,12 @@
     const key = recordKey(seq);
     // Each record hangs on the one before it: one that a loss has taken is missed before another is written.
     const before = t.cache.tail.get(seq - 1);
-    const chain = before && before.stamp > 0 ? [{ key: recordKey(seq - 1), stamp: before.stamp }] : [];
+    // Without one it hangs on the checkpoint: it goes with that at the earliest, and a late copy must not bring it back.
+    const chain: Condition[] = [
+      before
+        ? { key: recordKey(seq - 1), stamp: before.stamp }
+        : { key: ACCOUNTS, stamp: t.cache.checkpoint.stamp },
+    ];
     const calendar = t.cache.calendars.current?.version ?? 0;
     const spent = booking.spent();
     const head: RecordHead = { at, calendar, spent };
@@ -184,11 +190,13 @@
     );
     if (outcome === null) return NONE;
     if (!outcome.ok) {
-      yield* Effect.ignore(t.feed.refresh);
+      const read = yield* Effect.isSuccess(t.feed.refresh);
       t.book.dirty = true;
-      const lost = outcome.failed.find((k) => stillKnown(t, k, [...chain, ...draft.when]));
+      const { failed } = outcome;
+      // Without that read the view is as old as the condition, and a key that somebody has changed looks like a lost one.
+      const lost = read ? failed.find((k) => stillKnown(t, k, [...chain, ...draft.when])) : undefined;
       if (lost !== undefined) t.doubt.raise('key lost', `${lost} is not as it was`);
-      yield* debug('record refused', { term: t.reign.term, seq, failed: outcome.failed.join(',') });
+      yield* debug('record refused', { term: t.reign.term, seq, failed: failed.join(',') });
       return NONE;
     }
     booking.committed(spent);
@@ -301,8 +309,13 @@
     if (then.length === 0) return;
     const outcome = yield* settle(t, when, then, '', Priority.Upkeep);
     if (outcome === null) return;
-    yield* Effect.ignore(t.feed.refresh);
-    if (!outcome.ok && outcome.failed.includes(ACCOUNTS) && t.cache.checkpoint.stamp === checked.stamp)
+    const read = yield* Effect.isSuccess(t.feed.refresh);
+    if (
+      read &&
+      !outcome.ok &&
+      outcome.failed.includes(ACCOUNTS) &&
+      t.cache.checkpoint.stamp === checked.stamp
+    )
       t.doubt.raise('key lost', `${ACCOUNTS} is not as it was`);
   });
 
--- a/packages/controller/src/snapshots/restore.ts
+++ b/packages/controller/src/snapshots/restore.ts
@@ -65,7 +65,12 @@
         for (;;) {
           const o = yield* Effect.either(
             store.transact(
-              [{ key: RESTORE, stamp }],
+              // The mark goes with the last part. The term comes with it: a late copy of the first one, for which there was no
+              // mark yet either, must not set back what the controllers have made of it since.
+              [
+                { key: RESTORE, stamp },
+                { key: TERM, stamp: 0 },
+              ],
               [...then, next === null ? { delete: RESTORE } : { set: RESTORE, value: next }],
               Priority.Commit,
               3000,
--- /dev/null
+++ b/packages/controller/test/late-writes.test.ts
@@ -0,0 +1,434 @@
+/** Transactions without an answer that are carried out late, after newer ones of the same controller (docs/state.md). */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { type Micros, micros } from '@lilacvalve/base/micros';
+import { NoAnswer } from '@lilacvalve/base/http-client';
+import { Cause, Clock, Duration, Effect, Logger, Random, Scheduler } from 'effect';
+import { Ledger } from '../src/accounts/ledger.js';
+import { userHandlers } from '../src/api/handlers.js';
+import { Learned } from '../src/calendar/duty.js';
+import { Doubt } from '../src/doubt/doubt.js';
+import { GuardedStore } from '../src/doubt/guard.js';
+import { JobCache } from '../src/jobs/cache.js';
+import { decodeFinal, decodeRecord, encodePack } from '../src/jobs/codec.js';
+import { Feed } from '../src/jobs/feed.js';
+import { ACTIVE, FINAL, INCARNATION, RECORD, SETTLED, TERM } from '../src/jobs/keys.js';
+import { Largest } from '../src/scheduler/largest.js';
+import { commit, upkeep } from '../src/scheduler/records.js';
+import type { Start } from '../src/scheduler/model.js';
+import type { Turn } from '../src/scheduler/turn.js';
+import { Book } from '../src/workers/book.js';
+import { type Condition, Refused, type StateFailure, type Write } from '../src/state-store/client.js';
+import type { StatePort } from '../src/state-store/port.js';
+import { job } from './support/job.js';
+import { Luck } from './support/luck.js';
+import { TYPES, worldSettings } from './support/settings.js';
+
+const S = 1e6;
+const silent = Logger.remove(Logger.defaultLogger);
+
+/** Virtual time, and one event after another. */
+class Time {
+  now = 1e12;
+  private order = 0;
+  private due: { at: number; order: number; go: () => void }[] = [];
+  private readonly scheduler = new Scheduler.ControlledScheduler();
+  /** Rules that did not hold, and fibers that ended by a defect. */
+  readonly faults: string[] = [];
+  constructor(private readonly seed: number) {}
+  readonly clock = (): Micros => micros(this.now);
+  after(delay: number, go: () => void): () => void {
+    const e = { at: this.now + delay, order: this.order++, go };
+    this.due.push(e);
+    return () => (this.due = this.due.filter((x) => x !== e));
+  }
+  run(until: number): void {
+    for (;;) {
+      while (this.scheduler.tasks.buckets.length > 0) this.scheduler.step();
+      let next: (typeof this.due)[number] | undefined;
+      for (const e of this.due)
+        if (!next || e.at < next.at || (e.at === next.at && e.order < next.order)) next = e;
+      if (!next || next.at > until) return;
+      this.due = this.due.filter((x) => x !== next);
+      this.now = next.at;
+      next.go();
+    }
+  }
+  readonly watched = (what: Effect.Effect<unknown, unknown>): Effect.Effect<void> =>
+    Effect.catchAllCause(Effect.asVoid(what), (c) =>
+      Effect.sync(() => void (Cause.isInterruptedOnly(c) || this.faults.push(Cause.pretty(c)))),
+    );
+  fork(what: Effect.Effect<unknown, unknown>): void {
+    const millis = (): number => this.now / 1000;
+    const clock: Clock.Clock = {
+      [Clock.ClockTypeId]: Clock.ClockTypeId,
+      unsafeCurrentTimeMillis: millis,
+      unsafeCurrentTimeNanos: () => BigInt(Math.round(this.now)) * 1000n,
+      currentTimeMillis: Effect.sync(millis),
+      currentTimeNanos: Effect.sync(() => BigInt(Math.round(this.now)) * 1000n),
+      sleep: (d) =>
+        Effect.async<void>((resume) => {
+          const cancel = this.after(Duration.toMillis(d) * 1000, () => resume(Effect.void));
+          return Effect.sync(cancel);
+        }),
+    };
+    Effect.runFork(
+      this.watched(what).pipe(
+        Effect.withRandom(Random.make(`${this.seed}/${this.order}`)),
+        Effect.withClock(clock),
+        Effect.provide(silent),
+      ),
+      { scheduler: this.scheduler },
+    );
+  }
+}
+
+/** The state service as far as transactions go: of a share of them nothing is heard, and they are carried out late. */
+class Service {
+  revision = 0;
+  readonly keys = new Map<string, { value: unknown; stamp: number }>();
+  private readonly log: { key: string; value: unknown; stamp: number }[] = [];
+  /** Of the late ones, by kind: how many found their conditions true, and how many did not. */
+  readonly late = new Map<string, [number, number]>();
+  trouble = true;
+  onCommit: (key: string, value: unknown) => void = () => undefined;
+
+  constructor(
+    private readonly time: Time,
+    private readonly luck: Luck,
+  ) {}
+
+  transact(when: readonly Condition[], then: readonly Write[]) {
+    const failed = when.filter((c) => (this.keys.get(c.key)?.stamp ?? 0) !== c.stamp).map((c) => c.key);
+    if (failed.length > 0) return { ok: false as const, failed, revision: this.revision };
+    this.revision++;
+    for (const w of then) {
+      const key = 'set' in w ? w.set : w.delete;
+      const value: unknown = 'set' in w ? w.value : undefined;
+      if (value === undefined && !this.keys.delete(key)) continue;
+      if (value !== undefined) this.keys.set(key, { value, stamp: this.revision });
+      this.log.push({ key, value, stamp: this.revision });
+    }
+    for (const w of then) this.onCommit('set' in w ? w.set : w.delete, 'set' in w ? w.value : undefined);
+    return { ok: true as const, revision: this.revision };
+  }
+
+  private readonly ask = <A>(go: () => A, share = 0, late: (() => void) | null = null) =>
+    Effect.async<A, StateFailure>((resume) => {
+      const { luck, time } = this;
+      const lost = new NoAnswer({ reason: 'timeout' });
+      if (!this.trouble || !luck.chance(share))
+        time.after(luck.between(1e3, luck.chance(0.1) ? 0.9 * S : 8e3), () => resume(Effect.sync(go)));
+      else if (luck.chance(0.15)) resume(Effect.fail(new Refused({ status: 503, reason: 'trouble' })));
+      else {
+        time.after(1.2 * S, () => resume(Effect.fail(lost)));
+        if (late) time.after(luck.chance(0.3) ? luck.between(1e3, S) : luck.between(2 * S, 12 * S), late);
+      }
+    });
+
+  readonly port: StatePort = {
+    lastServed: 0,
+    lastRefused: 0,
+    leading: () => undefined,
+    writeWait: () => micros(0),
+    grant: () => Effect.succeed(1),
+    extend: () => Effect.succeed(true),
+    release: () => Effect.void,
+    transact: (when, then) => {
+      // As bytes: what the sender goes on to change does not change the request.
+      const [w, t] = JSON.parse(JSON.stringify([when, then])) as [Condition[], Write[]];
+      const key = (x: Write): string => ('set' in x ? x.set : x.delete);
+      const kind = [...new Set(t.map((x) => `${'set' in x ? '+' : '-'}${key(x).slice(0, 6)}`))].sort().join();
+      return this.ask(
+        () => this.transact(w, t),
+        0.3,
+        () => {
+          const o = this.transact(w, t);
+          const n = this.late.get(kind) ?? [0, 0];
+          n[o.ok ? 0 : 1]++;
+          this.late.set(kind, n);
+        },
+      );
+    },
+    get: (key) =>
+      this.ask(() => {
+        const e = this.keys.get(key);
+        return e === undefined
+          ? { entry: null, revision: this.revision }
+          : { entry: { key, ...e }, revision: null };
+      }, 0.03),
+    page: (prefix) =>
+      this.ask(() => ({ entries: this.entries(prefix), more: false, revision: this.revision })),
+    follow: (prefix, after) =>
+      this.ask(
+        () => ({
+          tooOld: false as const,
+          revision: this.revision,
+          changes: this.log.filter((c) => c.stamp > after && c.key.startsWith(prefix)),
+        }),
+        0.03,
+      ),
+  };
+
+  entries(prefix: string) {
+    const keys = [...this.keys.keys()].filter((k) => k.startsWith(prefix)).sort();
+    return keys.map((key) => ({ key, ...this.keys.get(key)! }));
+  }
+  /** What a node that begins now would see. */
+  view(): JobCache {
+    const c = new JobCache();
+    c.load(this.entries('s/'), this.revision);
+    return c;
+  }
+}
+
+const wire = (v: unknown): unknown => JSON.parse(JSON.stringify(v));
+const SETTINGS = worldSettings('n0', { state: { rps: 1e6, writeRps: 1e6, valueBytes: 16384, txnOps: 8, tail: 3 } }); // prettier-ignore
+const body = (id: string, tasks: number): Buffer =>
+  Buffer.from(
+    JSON.stringify({
+      ...{ id, jobClass: 'x', owner: 'red', shape: 'array', urgency: 'low', pieces: tasks, vcpus: 1 },
+      ...{ accelerators: 0, memGb: 1, bundle: 'i', imageGb: 1, samePlace: false, scatter: false },
+      ...{ borrowed: true, expectS: 5, saveEveryS: 0, saveTakesS: 0 },
+    }),
+  );
+
+/** One controller: its view, and what users reach of it. */
+const controller = (time: Time, service: Service) => {
+  const cache = new JobCache();
+  const doubt = new Doubt(time.clock, () => null);
+  const store = new GuardedStore(service.port, doubt, time.clock);
+  const feed = new Feed(cache, store, time.clock, () => false, doubt);
+  const users = userHandlers({
+    ...{ settings: SETTINGS, store, feed, cache, doubt, clock: time.clock, dayTime: time.clock },
+    ...{ mayBeNew: () => true, durable: () => true, leads: () => false, verified: () => true },
+    witness: { tell: () => Effect.void } as never,
+    types: () => TYPES,
+    ready: () => true,
+  });
+  const reign = (term: number, stamp: number): Turn => {
+    const reigning = (): boolean => cache.term <= term;
+    return {
+      ...{ settings: SETTINGS, store, feed, cache, doubt, clock: time.clock, dayTime: time.clock },
+      book: new Book(SETTINGS, cache, term, time.clock()),
+      ledger: new Ledger(),
+      reign: { term, stamp, began: time.clock() },
+      acting: reigning,
+      reigning,
+      acknowledged: () => true,
+      types: () => TYPES,
+      fleet: { news: null as never, listed: true },
+      largest: new Largest(),
+      learned: new Learned(),
+      companions: new Map(),
+    };
+  };
+  return { cache, doubt, store, feed, users, reign };
+};
+
+/** One day, by its seed: users, controllers that lead in turn, and rules that are looked at with every commit. */
+const day = (seed: number) => {
+  const time = new Time(seed);
+  const luck = new Luck(seed);
+  const service = new Service(time, luck);
+  const must = (holds: boolean, what: string): void => {
+    if (!holds) time.faults.push(`seed ${seed}, ${((time.now - 1e12) / S).toFixed(1)} s: ${what}`);
+  };
+  const same = (a: Iterable<number>, b: Iterable<number>): boolean =>
+    [...a].sort().join() === [...b].sort().join();
+
+  // What the records say, read apart from the service's own code: by job, tasks done and placed.
+  const truth = new Map<string, { tasks: number; done: Set<number>; placed: Set<number> }>();
+  const used = new Set<string>();
+  const over = new Map<string, string>();
+  /** Told to its user, in the order of the answers. */
+  const told = new Map<string, string>();
+  const asked = new Set<string>();
+  let commits = 0;
+  const look = (): void => {
+    const view = service.view();
+    must(view.hole() === null, 'a record is missing');
+    for (const [id, t] of truth) {
+      const j = view.jobs.get(id);
+      if (j === undefined) continue;
+      must(same(j.done, t.done), `${id}: tasks done`);
+      must(same(j.placed.keys(), t.placed), `${id}: tasks placed`);
+    }
+  };
+  const truthOf = (id: string) => {
+    let t = truth.get(id);
+    if (!t) truth.set(id, (t = { tasks: 0, done: new Set(), placed: new Set() }));
+    return t;
+  };
+  service.onCommit = (key, value) => {
+    if (value === undefined) return;
+    if (key.startsWith(ACTIVE)) must(!over.has(key.slice(ACTIVE.length)), `${key} after its end`);
+    if (key.startsWith(FINAL)) {
+      const id = key.slice(FINAL.length);
+      const { status } = decodeFinal(value);
+      must((over.get(id) ?? status) === status, `${key} was ${over.get(id)}, is ${status}`);
+      if (told.get(id) === 'done') must(status === 'done', id);
+      if (status === 'done') must(truthOf(id).done.size === truthOf(id).tasks, `${id} is not done`);
+      else must(asked.has(id), `${id} is cancelled by nobody`);
+      over.set(id, status);
+    }
+    if (key.startsWith(RECORD)) {
+      must(!used.has(key), `${key} for the second time`);
+      used.add(key);
+      for (const [id, c] of decodeRecord(Number(key.slice(RECORD.length)), value, 1).jobs) {
+        const t = truthOf(id);
+        for (const n of c.done ?? []) t.done.add(n);
+        for (const n of [...(c.done ?? []), ...(c.gone ?? [])]) t.placed.delete(n);
+        for (const n of [...(c.start?.on.values() ?? [])].flat()) {
+          const attempt = `${id}/${n}#${c.start!.attempt}`;
+          must(!used.has(attempt) && !t.placed.has(n), `${attempt} is started twice`);
+          must(!over.has(id) && told.get(id) !== 'aborted', `${attempt} is started after its end`);
+          used.add(attempt);
+          t.placed.add(n);
+        }
+      }
+    }
+    if (++commits % 5 === 0) look();
+  };
+
+  // As a rebuild leaves it: some jobs in a pack, records that went by.
+  const packed = [1, 2, 3].map((n) => ({
+    ...job(`job-9${n}`, { tasks: 3, submitted: time.clock() }),
+    ...{ attempt: 4, done: new Set([0]), touched: 7 },
+  }));
+  for (const j of packed) truth.set(j.spec.id, { tasks: 3, done: new Set([0]), placed: new Set() });
+  service.transact(
+    [],
+    [
+      { set: `${INCARNATION}x`, value: { g: 0, t: 0, s: 0 } },
+      { set: SETTLED, value: 'x' },
+      { set: TERM, value: { term: 1, a: 0 } },
+      { set: 's/p/1-000000', value: wire(encodePack(packed)) },
+    ],
+  );
+
+  const nodes = [controller(time, service), controller(time, service)];
+  const any = () => nodes[luck.int(2)]!;
+  const nap = (a: number, b: number) => Effect.suspend(() => Effect.sleep(luck.between(a, b) * 1000));
+
+  const user = (id: string, tasks: number) =>
+    Effect.gen(function* () {
+      const ask = (go: Effect.Effect<{ status: number; body: string | Buffer }>) =>
+        Effect.gen(function* () {
+          const before = told.get(id);
+          const a = yield* go;
+          if (before !== undefined) must(a.status === 200 || a.status >= 429, `${id} ${a.status}`);
+          if (a.status > 201) return null;
+          const { status } = JSON.parse(a.body.toString()) as { status: string };
+          const final = (s: string | undefined): boolean => s === 'done' || s === 'aborted';
+          if (final(before)) must(status === before, `${id}: an older answer`);
+          if (status === 'done') must(truthOf(id).done.size === tasks, `${id} is not done`);
+          if (!final(told.get(id))) told.set(id, status);
+          return status;
+        });
+      const request = { method: 'POST', path: '/work', headers: {}, body: body(id, tasks) } as never;
+      yield* nap(0, 20);
+      while ((yield* ask(any().users.submit(request) as never)) === null) yield* nap(0.1, 1);
+      const cancels = luck.chance(0.4) ? time.now + luck.between(0, 15 * S) : Infinity;
+      for (const end = time.now + 45 * S; time.now < end;) {
+        yield* nap(0.2, 3);
+        const node = any();
+        if (time.now > cancels) asked.add(id);
+        if (asked.has(id) && luck.chance(0.7)) yield* ask(node.users.withdraw(id) as never);
+        else if (luck.chance(0.2)) yield* ask(node.users.submit(request) as never);
+        else yield* ask(node.users.poll(id) as never);
+      }
+    });
+
+  /** A reign: starts what waits, ends what runs, tidies up beside it. */
+  const lead = (t: Turn) =>
+    Effect.gen(function* () {
+      yield* Effect.fork(
+        time.watched(
+          upkeep(t).pipe(Effect.zipRight(nap(0.1, 0.4)), Effect.repeat({ while: () => t.reigning() })),
+        ),
+      );
+      while (t.reigning()) {
+        const starts: Start[] = [];
+        for (const j of t.cache.jobs.values()) {
+          const ends = { done: new Set<number>(), gone: new Set<number>(), failed: new Set<number>() };
+          for (const n of j.placed.keys())
+            if (!t.book.isEnding(j.spec.id, n) && luck.chance(0.25))
+              ends[j.withdrawn || luck.chance(0.3) ? 'gone' : 'done'].add(n);
+          if (ends.done.size + ends.gone.size > 0 && !t.book.ends.has(j.spec.id))
+            t.book.ends.set(j.spec.id, ends);
+          const free = Array.from({ length: j.spec.tasks }, (_, n) => n).filter(
+            (n) => !j.done.has(n) && !j.placed.has(n) && luck.chance(0.7),
+          );
+          if (!j.withdrawn && free.length > 0)
+            starts.push({
+              job: j,
+              attempt: Math.max(t.cache.attempts, j.attempt) + 1,
+              on: new Map([['m', free]]),
+            });
+        }
+        yield* commit(t, starts);
+        yield* nap(0.05, 0.5);
+      }
+    });
+  const reigns = Effect.gen(function* () {
+    for (;;) {
+      const node = any();
+      yield* Effect.ignore(node.feed.refresh);
+      const [term, stamp] = [node.cache.term + 1, node.cache.termStamp];
+      const value = { term, a: node.cache.attempts + 256 };
+      const o = yield* Effect.either(
+        node.store.transact([{ key: TERM, stamp }], [{ set: TERM, value }], 0 as never, 1200),
+      );
+      if (o._tag === 'Left' || !o.right.ok) continue;
+      while ((yield* Effect.isFailure(node.feed.refresh)) || node.cache.term < term) yield* nap(0.1, 0.2);
+      if (node.cache.term === term)
+        yield* Effect.fork(time.watched(lead(node.reign(term, o.right.revision))));
+      yield* nap(4, 12);
+    }
+  });
+  time.fork(
+    Effect.zipRight(
+      Effect.forEach(nodes, (n) => n.feed.refresh.pipe(Effect.retry({ times: 9 }))),
+      reigns,
+    ),
+  );
+  for (let n = 0; n < 8; n++) {
+    const id = `job-${n}`;
+    truthOf(id).tasks = 1 + luck.int(3);
+    time.fork(user(id, truthOf(id).tasks));
+  }
+  for (const j of packed) time.fork(user(j.spec.id, 3));
+  time.run(1e12 + 70 * S);
+  service.trouble = false;
+  time.run(1e12 + 130 * S);
+  look();
+  for (const n of nodes) must(!n.doubt.active, 'the store is doubted');
+  for (const id of truth.keys()) {
+    must(over.has(id), `${id} is not over`);
+    if (['done', 'aborted'].includes(told.get(id)!))
+      must((told.get(id) === 'done') === (over.get(id) === 'done'), `${id}: what was told`);
+  }
+  assert.deepEqual(time.faults, []);
+  return service.late;
+};
+
+test('what is carried out late takes nothing back, starts nothing again and is applied once', () => {
+  const late = new Map<string, [number, number]>();
+  for (let seed = 1; seed <= 12; seed++)
+    for (const [kind, [done, refused]] of day(seed)) {
+      const n = late.get(kind) ?? [0, 0];
+      late.set(kind, [n[0] + done, n[1] + refused]);
+    }
+  if (process.env['SHOW']) console.log([...late].sort());
+  // Of each kind of write some were carried out late, and some found that they no longer held.
+  for (const kind of [
+    '+s/j/a/',
+    '+s/r/00',
+    '+s/term',
+    '+s/j/z/,-s/j/a/',
+    '+s/a/no,+s/j/a/,-s/r/00',
+    '-s/r/00',
+  ])
+    for (const n of late.get(kind) ?? [0, 0]) assert.ok(n > 0, `${kind}: ${late.get(kind)?.join()}`);
+});
