--- a/packages/controller/test/late-writes.test.ts
+++ b/packages/controller/test/late-writes.test.ts
@@ -108,6 +108,8 @@
   /** Reads get no answer; reads of changes before this revision are refused. */
   deaf = false;
   oldest = 0;
+  /** Controllers that get 503. */
+  readonly refused = new Set<number>();
   /** All that was ever sent. */
   readonly sent: [Condition[], Write[]][] = [];
   /** Carries out whatever was sent once more, the latest last; what the store has then. */
@@ -138,11 +140,13 @@
     return { ok: true as const, revision: this.revision };
   }
 
-  private readonly ask = <A>(go: () => A, share = 0, late: (() => void) | null = null) =>
+  private readonly ask = <A>(who: number, go: () => A, share = 0, late: (() => void) | null = null) =>
     Effect.async<A, StateFailure>((resume) => {
       const { luck, time } = this;
       const lost = new NoAnswer({ reason: 'timeout' });
-      if (share < 0.2 && this.deaf) resume(Effect.fail(lost));
+      if (this.refused.has(who))
+        time.after(2e3, () => resume(Effect.fail(new Refused({ status: 503, reason: 'trouble' }))));
+      else if (share < 0.2 && this.deaf) resume(Effect.fail(lost));
       else if (!this.trouble || !luck.chance(share))
         time.after(luck.between(1e3, luck.chance(0.1) ? 0.9 * S : 8e3), () => resume(Effect.sync(go)));
       else if (luck.chance(0.15)) resume(Effect.fail(new Refused({ status: 503, reason: 'trouble' })));
@@ -152,7 +156,7 @@
       }
     });
 
-  readonly port = (by = Infinity): StatePort => ({
+  readonly port = (who = 0, by = Infinity): StatePort => ({
     lastServed: 0,
     lastRefused: 0,
     leading: () => undefined,
@@ -169,6 +173,7 @@
       // Its sender may have sent it before, and that copy is still on its way.
       const before = this.trouble && key(t[0]!) !== TERM && this.luck.chance(0.1);
       return this.ask(
+        who,
         () => {
           if (before) this.time.after(this.luck.between(2 * S, 12 * S), () => void this.transact(w, t, by));
           return this.transact(w, t, by);
@@ -183,16 +188,21 @@
       );
     },
     get: (key) =>
-      this.ask(() => {
-        const e = this.keys.get(key);
-        return e === undefined
-          ? { entry: null, revision: this.revision }
-          : { entry: { key, ...e }, revision: null };
-      }, 0.03),
+      this.ask(
+        who,
+        () => {
+          const e = this.keys.get(key);
+          return e === undefined
+            ? { entry: null, revision: this.revision }
+            : { entry: { key, ...e }, revision: null };
+        },
+        0.03,
+      ),
     page: (prefix) =>
-      this.ask(() => ({ entries: this.entries(prefix), more: false, revision: this.revision })),
+      this.ask(who, () => ({ entries: this.entries(prefix), more: false, revision: this.revision })),
     follow: (prefix, after) =>
       this.ask(
+        who,
         () =>
           after < this.oldest
             ? { tooOld: true as const }
@@ -234,10 +244,10 @@
   );
 
 /** One controller: its view, and what users reach of it. */
-const controller = (time: Time, service: Service) => {
+const controller = (time: Time, service: Service, who = 0) => {
   const cache = new JobCache();
   const doubt = new Doubt(time.clock, () => null);
-  const store = new GuardedStore(service.port(), doubt, time.clock);
+  const store = new GuardedStore(service.port(who), doubt, time.clock);
   const feed = new Feed(cache, store, time.clock, () => false, doubt);
   const users = userHandlers({
     ...{ settings: SETTINGS, store, feed, cache, doubt, clock: time.clock, dayTime: time.clock },
@@ -250,7 +260,7 @@
     const reigning = (): boolean => cache.term <= term;
     return {
       ...{ settings: SETTINGS, feed, cache, doubt, clock: time.clock, dayTime: time.clock },
-      store: new GuardedStore(service.port(term), doubt, time.clock),
+      store: new GuardedStore(service.port(who, term), doubt, time.clock),
       book: new Book(SETTINGS, cache, term, time.clock()),
       ledger: new Ledger(),
       reign: { term, stamp, began: time.clock() },
@@ -286,6 +296,8 @@
   const told = new Map<string, string>();
   const asked = new Set<string>();
   let commits = 0;
+  /** Answers that were given while the service was refused. */
+  let answered = 0;
   let term = 0;
   /** The last record that is gone. */
   let folded = 0;
@@ -351,7 +363,7 @@
   for (const j of packed) truth.set(j.spec.id, { tasks: 3, done: new Set([0]), placed: new Set() });
   service.transact([], [...HEAD, { set: 's/p/1-000000', value: wire(encodePack(packed)) }]);
 
-  const nodes = [controller(time, service), controller(time, service)];
+  const nodes = [controller(time, service, 0), controller(time, service, 1)];
   const any = () => nodes[luck.int(2)]!;
   const nap = (a: number, b: number) => Effect.suspend(() => Effect.sleep(luck.between(a, b) * 1000));
 
@@ -360,11 +372,15 @@
       const ask = (go: Effect.Effect<{ status: number; body: string | Buffer }>) =>
         Effect.gen(function* () {
           const before = told.get(id);
+          const out = service.refused.size;
           const a = yield* go;
           if (before !== undefined) must(a.status === 200 || a.status >= 429, `${id} ${a.status}`);
           if (a.status > 201) return null;
           const { status } = JSON.parse(a.body.toString()) as { status: string };
           const final = (s: string | undefined): boolean => s === 'done' || s === 'aborted';
+          // While it is refused to all of them, they say what is over and nothing else.
+          if (out === 2 && service.refused.size === 2) must(final(status), `${id} is ${status} in an outage`);
+          answered += out;
           if (final(before)) must(status === before, `${id}: an older answer`);
           if (status === 'done') must(truthOf(id).done.size === tasks, `${id} is not done`);
           if (!final(told.get(id))) told.set(id, status);
@@ -374,7 +390,7 @@
       yield* nap(0, 40);
       while ((yield* ask(any().users.submit(request) as never)) === null) yield* nap(0.1, 1);
       const cancels = luck.chance(0.7) ? time.now + luck.between(0, 15 * S) : Infinity;
-      for (const end = time.now + 45 * S; time.now < end;) {
+      for (const end = time.now + 80 * S; time.now < end;) {
         yield* nap(0.2, 3);
         const node = any();
         if (time.now > cancels) asked.add(id);
@@ -443,9 +459,14 @@
     time.fork(user(id, truthOf(id).tasks));
   }
   for (const j of packed) time.fork(user(j.spec.id, 3));
-  time.run(1e12 + 90 * S);
+  // Refused to one controller, then to all for longer than a cancellation may take.
+  time.after(30 * S, () => service.refused.add(0));
+  time.after(36 * S, () => service.refused.add(1));
+  time.after(36 * S + SETTINGS.workers.cancel + 9 * S, () => service.refused.clear());
+  time.run(1e12 + 110 * S);
+  must(answered > 0, 'nobody asked in the outage');
   service.trouble = false;
-  time.run(1e12 + 140 * S);
+  time.run(1e12 + 170 * S);
   look();
   for (const n of nodes) must(!n.doubt.active, 'the store is doubted');
   for (const id of truth.keys()) {
