--- a/packages/controller/src/accounts/upkeep.ts
+++ b/packages/controller/src/accounts/upkeep.ts
@@ -40,6 +40,8 @@
     const [period, ...pending] = accounts.pending;
     if (period === undefined || t.cache.rebuild !== null) return false;
     const { closing } = t.ledger;
+    // A page of before it was written, though nothing was heard of it: who waited then stands there.
+    for (const end of closing.keys()) if (end <= period.from) closing.delete(end);
     const ends = [...closing.keys()].filter((to) => to <= period.to);
     const shares = joinShares(
       ends.flatMap((to) => compactShares(closing.get(to)!.shares, Number.POSITIVE_INFINITY)),
--- a/packages/controller/test/late-writes.test.ts
+++ b/packages/controller/test/late-writes.test.ts
@@ -4,7 +4,12 @@
 import { type Micros, micros } from '@lilacvalve/base/micros';
 import { NoAnswer } from '@lilacvalve/base/http-client';
 import { Cause, Clock, Duration, Effect, Logger, Random, Scheduler } from 'effect';
+import { encodeAccounts } from '../src/accounts/codec.js';
 import { Ledger } from '../src/accounts/ledger.js';
+import { MINUTE, NO_ACCOUNTS } from '../src/accounts/model.js';
+import { pagesOf } from '../src/accounts/pages.js';
+import { joinShares } from '../src/accounts/share.js';
+import { writePage } from '../src/accounts/upkeep.js';
 import { userHandlers } from '../src/api/handlers.js';
 import { Learned } from '../src/calendar/duty.js';
 import { Doubt } from '../src/doubt/doubt.js';
@@ -639,6 +644,21 @@
   assert.ok(service.keys.has(activeKey('job-1')) && !service.keys.has(wardKey('job-1')));
 });
 
+test('who waited in a period stands in one page, also if nothing was heard of its writing', () => {
+  const at = (n: number): Micros => micros(n * MINUTE);
+  const pending = [1, 2].map((n) => ({ from: at(n - 1), to: at(n), rows: new Map() }));
+  const [value] = encodeAccounts({ ...NO_ACCOUNTS, upTo: 5, closed: at(2), pending }, 9000);
+  const { service, node, go, turn } = calm([{ set: 's/a/now', value }]);
+  const shares = joinShares([['red', 'x', 7, 1, 0, 1]]);
+  for (const p of pending) turn.ledger.closing.set(p.to, { open: new Map(), shares });
+  const unheard = Effect.fail(new NoAnswer({ reason: 'timeout' }));
+  const deaf = { ...service.port(), transact: (...a: Parameters<StatePort['transact']>) => Effect.zipRight(service.port().transact(...a), unheard) } as StatePort; // prettier-ignore
+  go(writePage({ ...turn, store: deaf }).pipe(Effect.ignore, Effect.zipRight(node.feed.refresh)));
+  go(writePage(turn));
+  const pages = pagesOf(service.entries('s/a/p/'));
+  assert.deepEqual(pages.map((p) => [p.page.to, ...p.page.shares.values()].slice(0, 2)), pending.map((p) => [p.to, ...shares.values()])); // prettier-ignore
+});
+
 test('a restore that is over does not begin again', () => {
   const time = new Time(1);
   const service = new Service(time, new Luck(1));
