An exit heard with an older token counts once no older leader can start it again; deaf machines keep no job

Meetings of two troubles, found by going through the book with them in hand: - An exit (not a completion) told with an older token ended its placement at once. An older leader that holds on and has not heard of it starts the same attempt in the machine's next session. It counts now with this term's token, or once all leases that an older leader can have renewed have lapsed. From then on an older token proves absence as well, so what a machine that never hears this leader has lost is begun elsewhere. - A machine whose reports come and that answers don't reach: in a new term it held its job's place and counted as room on its way for ever. It is given up 40 s after what an older leader could keep there. In a leader's own term it looked like the best place, and every start sent there was lost: after three answers in vain the tasks go elsewhere, and the machine gets nothing for 10 s, doubling. - A leader that doubts the store goes on answering; the leases it renewed so were counted from before the doubt, and an old copy could pass for the latest report.

--- a/packages/controller/src/fleet/duty.ts
+++ b/packages/controller/src/fleet/duty.ts
@@ -6,6 +6,7 @@
 import { dayOf } from '../calendar/duty.js';
 import { pressing } from '../calendar/slack.js';
 import type { CycleView, Turn } from '../scheduler/turn.js';
+import type { Settings } from '../settings/settings.js';
 import type { Machine } from '../workers/book.js';
 import { type Awaited, Boots, countsFor, isOverdue, roomOnTheWay } from './boots.js';
 import type { CloudPort } from './cloud.js';
@@ -23,6 +24,16 @@
 /** The list may be twice its lag old, and older than the one before. */
 const LIST_MARGIN = seconds(10);
 
+/** A worker whose lease has lapsed is given up after so much longer. */
+const SILENT = seconds(40);
+
+/**
+ * It reports and has not shown this term's token, though what an older leader's hold and a lease after it last is over:
+ * it serves nobody, is charged, and might go on like that for ever. An answered delete settles what was on it.
+ */
+export const isDeaf = (m: Machine, { lease, cancel }: Settings['workers'], at: Micros): boolean =>
+  m.reported && !m.confirmed && at - m.unconfirmedSince > Math.max(lease, cancel) + SILENT;
+
 export const fleetDuty = (t: Turn, view: CycleView, cloud: CloudPort) => {
   const refusedUntil = new Map<string, Micros>();
   const keyOf = (o: Offer): string => `${o.type}|${o.zone}|${o.spot}`;
@@ -59,7 +70,8 @@
     age: (at - m.since) as Micros,
     boot: bootOf(m.type),
     runningFor: m.reported
-      ? ((at - m.lastAnswered) as Micros)
+      ? // Its reports may come and answers not reach it: counted from the latest, it was room on its way for ever.
+        ((at - m.unconfirmedSince) as Micros)
       : m.runningSince === null
         ? null
         : ((at - m.runningSince) as Micros),
@@ -90,6 +102,8 @@
         }
       }
     }
+    for (const machine of t.book.deaf.splice(0))
+      yield* info('answers do not reach machine', { term: t.reign.term, machine });
     const old = at - 3 * t.settings.cloud.listLag - LIST_MARGIN;
     for (const known of [rented, removed]) for (const [id, since] of known) if (since < old) known.delete(id);
     t.fleet.news = {
@@ -133,13 +147,15 @@
     const at = t.clock();
     const failed: string[] = [];
     const dead: string[] = [];
+    const deaf: string[] = [];
     const stuck: string[] = [];
     const idle: Idle[] = [];
     const surplus: string[] = [];
     for (const m of t.book.machines.values()) {
       const on = t.cache.byMachine.get(m.id)?.size ?? 0;
       if (m.listed === 'failed') failed.push(m.id);
-      else if (m.reported && at > t.book.leaseEnd(m) + 40e6) dead.push(m.id);
+      else if (m.reported && at > t.book.leaseEnd(m) + SILENT) dead.push(m.id);
+      else if (isDeaf(m, t.settings.workers, at)) deaf.push(m.id);
       else if (!m.reported) {
         if (at - m.since > boots.givenUpAfter(bootKey(m), bootOf(m.type), at) && at - t.reign.began > SETTLED)
           stuck.push(m.id);
@@ -166,6 +182,7 @@
     }
     yield* remove(failed, 'failed');
     yield* remove(dead, 'silent');
+    yield* remove(deaf, 'deaf');
     yield* remove(stuck, 'never booted');
     yield* remove(surplus, 'overdue and not needed', true);
     // Only with a view of the demand from a recent cycle, and never while a start may be on its way.
--- a/packages/controller/src/workers/book.ts
+++ b/packages/controller/src/workers/book.ts
@@ -31,8 +31,13 @@
   recallAt: Micros | null;
   readonly tasks: Map<string, ReportedTask>;
   /** The list that `tasks` was made from. */
-  told: readonly ReportedTask[];
-  /** The latest report carried this term's token, so what it lacks is surely not there. */
+  list: readonly ReportedTask[];
+  /** Since when it has reported without having shown that; from the last answer on, once its lease has lapsed. */
+  unconfirmedSince: Micros;
+  /**
+   * The latest report carried this term's token, or no older leader's word can count any more, so what it lacks is surely
+   * not there, and what has ended there is not started there again.
+   */
   conclusive: boolean;
   /** Tasks reported in this term and session, with the attempt: a later attempt here has not been seen yet. */
   readonly seen: Map<string, number>;
@@ -47,6 +52,10 @@
   closed: string | null;
   images: Set<string>;
   cooldownUntil: Micros;
+  /** Tasks that the answer to its latest report starts. */
+  told: readonly string[];
+  /** So many answers with starts in a row have not reached it. */
+  unheard: number;
 }
 
 export interface Running {
@@ -69,12 +78,24 @@
 }
 
 const ZERO = 0 as Micros;
+const NONE: readonly string[] = [];
+const NO_TASKS: readonly ReportedTask[] = [];
+/** So many answers in a row that start something have been lost: the machine's reports come, and answers don't reach it. */
+const DEAF = 3;
+/** Reports that come closer together were held up together: nobody waited for the answers between them. */
+const HELD = seconds(1);
+/** A deaf machine gets nothing for so long; doubles while it turns out to be deaf still. */
+const SHUNNED = seconds(10);
+const LONGEST_SHUNNED = seconds(80);
 const FAULTY = 'faulty';
 /** What ends on a machine is recorded within a few turns after the machine has gone. */
 const FORMERLY_KEPT = 2000;
 
 export const endsOf = (e: Ends, task: number): boolean => e.done.has(task) || e.gone.has(task);
 
+const isOlder = (r: Report, m: Machine): boolean =>
+  r.tenure < m.tenure || (r.tenure === m.tenure && r.tick <= m.tick);
+
 export class Book {
   readonly machines = new Map<string, Machine>();
   private readonly deleted = new Set<string>();
@@ -102,6 +123,8 @@
   readonly givenUp = new Set<string>();
   /** Jobs whose strays can't be taken up. */
   private readonly abandoned = new Set<string>();
+  /** Machines found deaf since this was last looked at. */
+  deaf: string[] = [];
   /** Something a cycle should look at has changed. */
   dirty = true;
 
@@ -129,9 +152,10 @@
         lastAnswered: this.began,
         reported: false,
         confirmed: false,
+        unconfirmedSince: at,
         recallAt: null,
         tasks: new Map(),
-        told: [],
+        list: NO_TASKS,
         conclusive: false,
         seen: new Map(),
         strangers: false,
@@ -142,6 +166,8 @@
         closed: null,
         images: new Set(this.cache.weights.get(id) ?? []),
         cooldownUntil: ZERO,
+        told: NONE,
+        unheard: 0,
       };
       this.machines.set(id, m);
     }
@@ -194,32 +220,53 @@
     );
   }
 
+  /**
+   * A report was answered, and nothing else was made of it: while what is durable is doubted. Its lease counts from here, and
+   * what it says is unknown; an older one must not pass for the latest.
+   */
+  renewed(r: Report, at: Micros): void {
+    if (this.deleted.has(r.machine)) return;
+    const m = this.machine(r.machine, at, r);
+    if (isOlder(r, m)) return;
+    if (r.tenure > m.tenure) m.seen.clear();
+    m.tenure = r.tenure;
+    m.tick = r.tick;
+    m.lastAnswered = at;
+  }
+
   /** Takes a report in. null: it is older than what is known, or the machine is gone. */
   report(r: Report, at: Micros): Machine | null {
     if (this.deleted.has(r.machine)) return null;
     const m = this.machine(r.machine, at, r);
-    if (m.reported && (r.tenure < m.tenure || (r.tenure === m.tenure && r.tick <= m.tick))) return null;
+    if (isOlder(r, m)) return null;
+    // After `allLapsed` a session that this leader has not heard of has lapsed, and what it has heard of only it can change.
+    const conclusive = r.token === this.term || this.allLapsed(at);
     if (m.reported && r.tenure > m.tenure) {
       // The session before has ended, and everything it held with it. But an older leader that had not seen the start may
-      // have repeated it in this one: it may be here, or still come in an answer that the worker takes, until it knows this term.
+      // have repeated it in this one: it may be here, or still come in an answer that the worker takes, until it knows this
+      // term or that leader's answers count no more.
       const here = new Map(r.tasks.map((x) => [x.key, x.attempt]));
       for (const [key, attempt] of m.seen) {
         if (here.get(key) === attempt) continue;
-        if (r.token === this.term) this.lost(m, key, attempt);
+        if (conclusive) this.lost(m, key, attempt);
         m.seen.delete(key);
       }
     }
-    if (!m.reported) this.dirty = true;
+    if (!m.reported) {
+      this.dirty = true;
+      m.unconfirmedSince = at;
+    }
     m.addr = r.addr;
     m.type = r.type;
     m.zone = r.zone;
     m.spot = r.spot;
+    const since = at - m.lastAnswered;
     m.tenure = r.tenure;
     m.tick = r.tick;
     m.lastAnswered = at;
     m.reported = true;
-    m.conclusive = r.token === this.term;
-    if (m.conclusive && !m.confirmed) {
+    m.conclusive = conclusive;
+    if (r.token === this.term && !m.confirmed) {
       m.confirmed = true;
       this.dirty = true;
     }
@@ -227,10 +274,10 @@
     if ((recallAt === null) !== (m.recallAt === null)) this.dirty = true;
     m.recallAt = recallAt;
     // The very list of its last report: it says the same again.
-    if (m.told !== r.tasks) {
+    if (m.list !== r.tasks) {
       m.tasks.clear();
       for (const t of r.tasks) m.tasks.set(t.key, t);
-      m.told = r.tasks;
+      m.list = r.tasks;
     }
 
     const on = this.cache.byMachine.get(m.id);
@@ -246,10 +293,13 @@
       }
     }
     if (strangers !== m.strangers) this.dirty = true;
+    const deaf = m.told !== NONE && this.unheard(m, since, at);
+    m.told = NONE;
     for (const [key, p] of on ?? []) {
       if (m.tasks.has(key) || this.isEnding(p.job.spec.id, p.task)) continue;
       // Seen before and not there any more, or: never arrived, and only our own next answer could still bring it.
-      if (m.seen.get(key) === p.attempt || (m.conclusive && !this.wanted(p, m))) this.gone(p.job, p.task);
+      if (m.conclusive && (deaf || m.seen.get(key) === p.attempt || !this.wanted(p, m)))
+        this.gone(p.job, p.task);
     }
     const empty = r.tasks.every((t) => t.status === 'exited') && (on?.size ?? 0) === 0;
     if (!empty) m.emptySince = null;
@@ -257,6 +307,18 @@
     return m;
   }
 
+  /** What the last answer told it to start is not there; true: that has happened so often that it goes elsewhere. */
+  private unheard(m: Machine, since: number, at: Micros): boolean {
+    if (m.told.every((key) => m.tasks.has(key))) {
+      m.unheard = 0;
+      return false;
+    }
+    if (since < HELD || ++m.unheard < DEAF) return false;
+    m.cooldownUntil = plus(at, Math.min(LONGEST_SHUNNED, SHUNNED * 2 ** (m.unheard - DEAF)));
+    this.deaf.push(m.id);
+    return true;
+  }
+
   /** A task from before a loss that no record knows of. */
   private stray(m: Machine, t: ReportedTask): void {
     const slash = t.key.indexOf('/');
@@ -377,6 +439,7 @@
         orders.push({ op: 'stop', key: t.key, attempt: t.attempt, grace: stop.grace });
       }
     }
+    const told: string[] = [];
     for (const [key, p] of on ?? []) {
       if (
         !m.conclusive ||
@@ -385,8 +448,11 @@
         this.isEnding(p.job.spec.id, p.task)
       )
         continue;
-      if (this.wanted(p, m)) orders.push({ op: 'start', key, attempt: p.attempt });
+      if (!this.wanted(p, m)) continue;
+      orders.push({ op: 'start', key, attempt: p.attempt });
+      told.push(key);
     }
+    if (told.length > 0) m.told = told;
     return orders;
   }
 
@@ -415,6 +481,9 @@
     }
     this.phases.ended(t.key, t.attempt, t.saved);
     if (this.isEnding(job.spec.id, p.task)) return;
+    // Should the session end, an older leader that has not heard of this may start the same attempt in the next one. What
+    // is done is done.
+    if (t.cause !== 'done' && !m.conclusive) return;
     const since = this.running.get(t.key)?.since;
     this.running.delete(t.key);
     this.stopping.delete(t.key);
@@ -508,6 +577,7 @@
     }
     for (const m of this.machines.values()) {
       if (m.reported && at > this.leaseEnd(m)) {
+        if (m.confirmed) m.unconfirmedSince = m.lastAnswered;
         m.confirmed = false;
         m.seen.clear();
         this.forgetStrays(m.id);
--- a/packages/controller/src/workers/duty.ts
+++ b/packages/controller/src/workers/duty.ts
@@ -151,6 +151,7 @@
     // What was durable may not be any more: only the lease is renewed until that is known. What users cancelled is stopped
     // all the same: its time runs on, and whoever renews leases must not carry it past that.
     if (doubt.active) {
+      for (const r of reports) if (r !== null) book.renewed(r, at);
       const cancelled = (id: string): boolean => book.cancelled(id);
       return answer({
         term: reign.term,
--- a/packages/controller/test/book.test.ts
+++ b/packages/controller/test/book.test.ts
@@ -5,7 +5,12 @@
 import { JobCache } from '../src/jobs/cache.js';
 import { encodeJob } from '../src/jobs/codec.js';
 import { activeKey } from '../src/jobs/keys.js';
+import { Contacts } from '../src/leadership/contacts.js';
+import type { Leadership } from '../src/leadership/leadership.js';
+import { isDeaf } from '../src/fleet/duty.js';
 import { Book } from '../src/workers/book.js';
+import type { Report, ReportedTask } from '../src/workers/codec.js';
+import { receiver } from '../src/workers/duty.js';
 import { job } from './support/job.js';
 import { worldSettings } from './support/settings.js';
 
@@ -71,3 +76,132 @@
   // It may still come, in the older leader's answer.
   assert.equal(told(4, false), false);
 });
+
+/** The book of a term in which `job-1/0` is placed on `m`. */
+const placed = (term: number, began = 0): Book => {
+  const started = job('job-1', { spot: false });
+  started.attempt = 1;
+  started.placed.set(0, { task: 0, attempt: 1, machine: 'm', since: 0 as Micros });
+  const cache = new JobCache();
+  const value: unknown = JSON.parse(JSON.stringify(encodeJob(started, 0)));
+  cache.apply({ key: activeKey('job-1'), value, stamp: 1 });
+  return new Book(worldSettings('n0'), cache, term, seconds(began));
+};
+const said = (token: number, tenure: number, tick: number, over: Partial<ReportedTask> | null): Report => ({
+  machine: 'm',
+  addr: '',
+  type: 'c8',
+  zone: 'a',
+  spot: false,
+  tenure,
+  tick,
+  token,
+  recall: null,
+  tasks:
+    over === null
+      ? []
+      : [{ key: 'job-1/0', attempt: 1, status: 'running', cause: null, saved: false, ...over }],
+});
+
+// The new leader heard of an exit that the old one, which held on, had not heard of: it started the same attempt again in
+// the machine's next session, while the new one started the task elsewhere.
+test('an exit counts once no older leader can start that attempt again', () => {
+  const exit = { status: 'exited', cause: 'unknown' } as const;
+  const older = placed(4);
+  older.report(said(4, 3, 10, null), seconds(0));
+  older.report(said(4, 4, 30, null), seconds(13));
+  assert.deepEqual(older.orders(older.machines.get('m')!), [{ op: 'start', key: 'job-1/0', attempt: 1 }]);
+  const heard = (token: number, at: number, acknowledged = true): boolean => {
+    const book = placed(5, 9);
+    book.lapse(seconds(10), acknowledged);
+    book.report(said(token, 3, 20, exit), seconds(at));
+    return book.isEnding('job-1', 0);
+  };
+  assert.equal(heard(4, 11), false);
+  assert.equal(heard(5, 11), true);
+  // 10 s, the word of older leaders for 3 s more, a lease of 12 s, drift and margin.
+  assert.deepEqual([heard(4, 25.9), heard(4, 26.1), heard(4, 99, false)], [false, true, false]);
+  const done = placed(5, 9);
+  done.report(said(4, 3, 20, { status: 'exited', cause: 'done' }), seconds(11));
+  assert.equal(done.isEnding('job-1', 0), true);
+});
+
+// A leader that doubted the store for longer than a lease went on answering; then it counted all leases from before.
+test('leases count from what was answered during a doubt, and what came then is not taken for older', () => {
+  const book = placed(5);
+  let at = 0;
+  let active = true;
+  const reign = { term: 5, stamp: 1, began: 0 as Micros };
+  const leadership = { answering: () => reign, acting: () => null, depose: () => undefined };
+  const receive = receiver(
+    leadership as unknown as Leadership,
+    () => ({ book, nextTurn: () => undefined }),
+    () => seconds(at),
+    new Contacts(worldSettings('n0')),
+    {
+      get active() {
+        return active;
+      },
+      heardToken: () => undefined,
+    },
+  );
+  const answered = (r: Report, when: number): void => {
+    at = when;
+    receive([r], (a) => assert.deepEqual(a, { term: 5, bodies: [''] }));
+  };
+  book.lapse(0 as Micros, true);
+  for (let t = 1; t < 30; t += 2) answered(said(5, 1, t, { status: 'running' }), t);
+  active = false;
+  assert.deepEqual(book.lapse(seconds(31), true), []);
+  answered(said(0, 1, 20, null), 32);
+  assert.equal(book.isEnding('job-1', 0), false, 'an old copy');
+  answered(said(5, 1, 31, { status: 'running' }), 32);
+  assert.deepEqual(book.lapse(seconds(60), true), ['m']);
+});
+
+// A machine that reported, and that answers did not reach, held its job's place for as long as it went on.
+test('a machine that never shows the new token keeps no job waiting, and is returned', () => {
+  const book = placed(5);
+  let tick = 0;
+  let freed = 0;
+  for (let at = 1; at < 90; at += 2) {
+    book.lapse(seconds(at), true);
+    // Its lease, renewed by the leader before, ends at 9 s.
+    const m = book.report(said(4, at < 9 ? 1 : 2, ++tick, at < 9 ? {} : null), seconds(at))!;
+    book.orders(m);
+    assert.equal(book.open(m, seconds(at)), false);
+    if (freed === 0 && book.isEnding('job-1', 0)) freed = at;
+  }
+  assert.ok(freed > 17 && freed < 27, `freed at ${freed} s`);
+  const { workers } = worldSettings('n0');
+  const m = book.machines.get('m')!;
+  assert.deepEqual(
+    [70, 80].map((at) => isDeaf(m, workers, seconds(at))),
+    [false, true],
+  );
+});
+
+// It looked the best place for whatever waited: empty, with a current report, and every start sent to it was lost.
+test('what answers in vain start on a machine goes elsewhere, and the machine gets nothing for a while', () => {
+  const book = placed(5);
+  const miss = (tick: number, at: number, there = false): boolean => {
+    const m = book.report(said(5, 1, tick, there ? {} : null), seconds(at))!;
+    book.orders(m);
+    return book.isEnding('job-1', 0);
+  };
+  // Held up together, nobody waited for the answers between them.
+  for (let tick = 1; tick < 9; tick++) assert.equal(miss(tick, 1 + tick / 10), false);
+  assert.deepEqual([miss(9, 7), miss(10, 12), miss(11, 17)], [false, false, true]);
+  const m = book.machines.get('m')!;
+  assert.deepEqual([book.open(m, seconds(17)), m.cooldownUntil], [false, seconds(27)]);
+  assert.deepEqual(book.deaf, ['m']);
+  const heard = placed(5);
+  for (const [tick, at] of [
+    [1, 1],
+    [2, 6],
+    [3, 11],
+  ] as const)
+    heard.orders(heard.report(said(5, 1, tick, null), seconds(at))!);
+  heard.report(said(5, 1, 4, {}), seconds(16));
+  assert.equal(heard.isEnding('job-1', 0), false);
+});
