--- a/packages/controller/src/pulse.ts
+++ b/packages/controller/src/pulse.ts
@@ -1,13 +1,13 @@
 /** What a node does whether it leads or not, to know how it stands: its pulse, its counts, its tie to the state service. */
 import { duty } from '@lilacvalve/base/duty';
-import { info } from '@lilacvalve/base/log';
+import { debug, info } from '@lilacvalve/base/log';
 import { type Micros, millis, toMillis } from '@lilacvalve/base/micros';
 import { tick, untilTick } from '@lilacvalve/base/tick';
-import { Clock, Effect } from 'effect';
+import { Clock, Effect, FiberRef, LogLevel, Runtime } from 'effect';
 import type { Feed } from './jobs/feed.js';
 import type { Admission } from './overload/admission.js';
 import type { StatePort } from './state-store/port.js';
-import { takeTally } from './tally.js';
+import { listenToOdd, takeTally } from './tally.js';
 
 const PULSE = millis(500);
 const QUICK_PULSE = millis(100);
@@ -56,11 +56,19 @@
     }).pipe(Effect.forever),
   );
 
+/** One line for each odd message, where the log's level asks for it. */
+const oddLines = Effect.gen(function* () {
+  if (LogLevel.greaterThan(yield* FiberRef.get(FiberRef.currentMinimumLogLevel), LogLevel.Debug)) return;
+  const runtime = yield* Effect.runtime();
+  listenToOdd((event, fields) => void Runtime.runFork(runtime)(debug(event, fields)));
+});
+
 /** What this node did, whether it leads or not. */
 export const loadLine = (leads: () => boolean) =>
   duty(
     'load',
-    Effect.sleep(LOAD_EVERY_MS).pipe(
+    oddLines.pipe(
+      Effect.zipRight(Effect.sleep(LOAD_EVERY_MS)),
       Effect.zipRight(Effect.suspend(() => info('load', { leads: leads(), ...takeTally() }))),
       Effect.forever,
     ),
--- a/packages/controller/src/workers/book.ts
+++ b/packages/controller/src/workers/book.ts
@@ -11,6 +11,7 @@
 import type { Settings } from '../settings/settings.js';
 import { type KindOf } from '../accounts/spent.js';
 import { Phases } from '../accounts/phases.js';
+import { odd } from '../tally.js';
 import { Blame } from './blame.js';
 import type { Start } from '../scheduler/model.js';
 import type { Order, Report, ReportedTask } from './codec.js';
@@ -428,7 +429,10 @@
         if (this.kept(m, t)) continue;
         // Unknown to the record, or of an attempt that is over: a completion is durable by now, so it may go.
         if (t.status === 'exited') orders.push({ op: 'forget', key: t.key, attempt: t.attempt });
-        else orders.push({ op: 'stop', key: t.key, attempt: t.attempt, grace: ZERO });
+        else {
+          odd('strange', 'strange task', () => ({ machine: m.id, task: t.key, attempt: t.attempt }));
+          orders.push({ op: 'stop', key: t.key, attempt: t.attempt, grace: ZERO });
+        }
         continue;
       }
       if (t.status === 'exited') continue;
--- a/packages/controller/src/workers/codec.ts
+++ b/packages/controller/src/workers/codec.ts
@@ -74,16 +74,18 @@
   for (const p of pieces as (WirePiece | null)[]) {
     if (typeof p !== 'object' || p === null) return null;
     const status = STATUS[p.status as string];
-    if (!text(p.piece) || !Number.isSafeInteger(p.try) || status === undefined) return null;
+    if (!text(p.piece) || !count(p.try) || p.try === 0 || status === undefined) return null;
     tasks.push({
       key: p.piece,
-      attempt: p.try as number,
+      attempt: p.try,
       status,
       // An exit of a kind we don't know is handled as a failure.
       cause: status === 'exited' ? (CAUSE[(p.cause ?? '') as string] ?? 'error') : null,
       saved: p.stored === true,
     });
   }
+  // The same attempt twice: whichever of the two is true, the other would end or keep a task.
+  if (tasks.length > 1 && new Set(tasks.map((t) => `${t.key} ${t.attempt}`)).size < tasks.length) return null;
   return tasks;
 };
 
--- a/packages/controller/src/workers/duty.ts
+++ b/packages/controller/src/workers/duty.ts
@@ -4,7 +4,7 @@
 import { type Answer, json, type Quick } from '@lilacvalve/base/http-server';
 import { HttpClient } from '@lilacvalve/base/http-client';
 import { type Micros, seconds } from '@lilacvalve/base/micros';
-import { tally } from '../tally.js';
+import { odd, tally } from '../tally.js';
 import type { Contacts } from '../leadership/contacts.js';
 import type { Leadership } from '../leadership/leadership.js';
 import type { Admission } from '../overload/admission.js';
@@ -42,7 +42,12 @@
   }
 
   orders(addr: string, body: string): Effect.Effect<void> {
-    return new HttpClient(addr, this.agent).request('POST', '/orders', body, 3000).pipe(Effect.ignore);
+    return new HttpClient(addr, this.agent).request('POST', '/orders', body, 3000).pipe(
+      Effect.map(({ status }) => {
+        if (status !== 200) odd('unheeded', 'order refused', () => ({ addr, status }));
+      }),
+      Effect.ignore,
+    );
   }
 }
 
@@ -158,7 +163,18 @@
         bodies: reports.map((r) => renewal(r, { term: reign.term, cancelled })),
       });
     }
-    const machines = reports.map((r) => (r === null ? null : book.report(r, at)));
+    const machines = reports.map((r) => {
+      if (r === null) return null;
+      const m = book.report(r, at);
+      if (m === null)
+        odd('late', 'late report', () => ({
+          machine: r.machine,
+          tenure: r.tenure,
+          tick: r.tick,
+          token: r.token,
+        }));
+      return m;
+    });
     const finish = (): void => {
       const still = leadership.answering();
       if (still === null || still.term !== reign.term) return answer(null);
@@ -195,6 +211,7 @@
     tally('reports');
     const { body } = request;
     if (body === null) {
+      odd('malformed', 'report too large', () => ({}));
       reply(json(400, { error: 'body too large' }));
       return true;
     }
@@ -206,7 +223,9 @@
     }
     if (sender !== null) note(sender);
     if (leads()) {
-      receive([reader.read(body)], (answers) => {
+      const report = reader.read(body);
+      if (report === null) odd('malformed', 'malformed report', () => ({ machine: sender }));
+      receive([report], (answers) => {
         if (answers === null) pass(body, reply);
         else reply(answerOf(answers, 0));
       });
--- a/packages/controller/src/workers/relay.ts
+++ b/packages/controller/src/workers/relay.ts
@@ -14,9 +14,9 @@
 import { type Answer, json, type Quick, retryLater } from '@lilacvalve/base/http-server';
 import type { NoAnswer } from '@lilacvalve/base/http-client';
 import { type Micros, millis } from '@lilacvalve/base/micros';
-import { tally } from '../tally.js';
+import { odd, tally } from '../tally.js';
 import type { Peer } from '../settings/settings.js';
-import { type Answers, plainBody, type Receive, type ReportReader } from './codec.js';
+import { type Answers, plainBody, type Receive, type ReportReader, senderOf } from './codec.js';
 
 /** Carries a batch to the leader and its answers back. */
 export interface RelayPort {
@@ -151,12 +151,17 @@
   (request, reply) => {
     const batch = request.body === null ? null : readBatch(request.body);
     if (batch === null) {
+      odd('malformed', 'malformed batch', () => ({}));
       reply(json(400, {}));
       return true;
     }
     tally('relayed', batch.length);
     receive(
-      batch.map((b) => reader.read(b)),
+      batch.map((b) => {
+        const report = reader.read(b);
+        if (report === null) odd('malformed', 'malformed report', () => ({ machine: senderOf(b) }));
+        return report;
+      }),
       (answers) =>
         reply(
           answers === null
--- a/packages/controller/test/reports.test.ts
+++ b/packages/controller/test/reports.test.ts
@@ -1,8 +1,19 @@
 /** Reports as the leader reads them: one that repeats what its machine said is read less, and means the same. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
-import { ReportReader, readReport } from '../src/workers/codec.js';
+import type { Micros } from '@lilacvalve/base/micros';
+import { JobCache } from '../src/jobs/cache.js';
+import { encodeJob } from '../src/jobs/codec.js';
+import { activeKey } from '../src/jobs/keys.js';
+import { Contacts } from '../src/leadership/contacts.js';
+import type { Leadership } from '../src/leadership/leadership.js';
+import { listenToOdd, takeTally } from '../src/tally.js';
+import { Book } from '../src/workers/book.js';
+import { ReportReader, REPORTS, readReport } from '../src/workers/codec.js';
+import { receiver, reportHandler } from '../src/workers/duty.js';
+import { job } from './support/job.js';
 import { Luck } from './support/luck.js';
+import { worldSettings } from './support/settings.js';
 
 type Fields = Record<string, unknown>;
 
@@ -58,3 +69,65 @@
   }
   assert.ok(again > 300, `only ${again} lists were known`);
 });
+
+test("odd reports get the protocol's answer, end nothing, and leave a count and a line", () => {
+  const running = job('job-1', { spot: false });
+  running.placed.set(0, { task: 0, attempt: 2, machine: 'vm-1', since: 0 as Micros });
+  const cache = new JobCache();
+  cache.apply({ key: activeKey('job-1'), value: encodeJob(running, 0), stamp: 1 });
+  const settings = worldSettings('n0');
+  const book = new Book(settings, cache, 3, 0 as Micros);
+  book.removed('vm-2');
+  const reign = { term: 3, stamp: 1, began: 0 as Micros };
+  const leadership = { answering: () => reign, acting: () => null, depose: () => undefined };
+  const receive = receiver(
+    leadership as unknown as Leadership,
+    () => ({ book, nextTurn: () => undefined }),
+    () => 0 as Micros,
+    new Contacts(settings),
+    { active: false, heardToken: () => undefined },
+  );
+  const lost = () => assert.fail('passed on');
+  const handle = reportHandler(
+    receive,
+    () => true,
+    lost,
+    () => null,
+    () => undefined,
+    new ReportReader(),
+  );
+  const there = { piece: 'job-1/0', try: 2, status: 'running' };
+  const ended = { ...there, status: 'ended', cause: 'error' };
+  const body = (tenure: number, tick: number, pieces: Fields[], host = 'vm-1'): string => {
+    const head = { host, addr: 'x:1', hostKind: 'c8', room: 'a', borrowed: false };
+    return JSON.stringify({ ...head, tenure, tick, warrant: 3, recallS: null, pieces });
+  };
+  const lines: string[] = [];
+  const answers: string[] = [];
+  takeTally();
+  listenToOdd((event, fields) => lines.push(`${event} ${fields.machine ?? ''}`));
+  const plain = '200 {"warrant":3,"orders":[]}';
+  const cases: [string | null, string, string][] = [
+    [body(2, 5, [there]), plain, ''],
+    [body(2, 5, [ended]), plain, 'late report vm-1'],
+    [body(2, 4, [ended]), plain, 'late report vm-1'],
+    [body(1, 99, []), plain, 'late report vm-1'],
+    [body(1, 1, [there], 'vm-2'), plain, 'late report vm-2'],
+    [body(2, 6, [there, ended]), '400', 'malformed report vm-1'],
+    [body(2, 6, [{ ...ended, try: 0 }]), '400', 'malformed report vm-1'],
+    [body(2, 6, [ended]).slice(0, -2), '400', 'malformed report vm-1'],
+    [null, '400', 'report too large '],
+    [body(2, 6, [there, { ...there, piece: 'job-1/7' }]), '200', 'strange task vm-1'],
+  ];
+  for (const [text, answer, line] of cases) {
+    const before = lines.length;
+    handle({ method: 'POST', path: REPORTS, body: text === null ? null : Buffer.from(text) }, (a) =>
+      answers.push(`${a.status} ${String(a.body)}`),
+    );
+    assert.ok(answers[answers.length - 1]!.startsWith(answer), `${text}: ${answers[answers.length - 1]}`);
+    assert.deepEqual(lines.slice(before), line === '' ? [] : [line], `${text}`);
+  }
+  listenToOdd(null);
+  const { late, malformed, strange } = takeTally();
+  assert.deepEqual([late, malformed, strange, book.ends.size], [4, 4, 1, 0]);
+});
