--- a/packages/controller/src/workers/book.ts
+++ b/packages/controller/src/workers/book.ts
@@ -698,7 +698,8 @@
     const e = this.ends.get(jobId);
     if (!e) return;
     for (const t of done) e.done.delete(t);
-    for (const t of gone) {
+    // Of a gang that completed, also what its members had said before one told of that.
+    for (const t of [...done, ...gone]) {
       e.gone.delete(t);
       e.failed.delete(t);
     }
--- a/packages/controller/test/book.test.ts
+++ b/packages/controller/test/book.test.ts
@@ -181,6 +181,22 @@
   );
 });
 
+// What a member said before another told that the gang is done stayed, and was recorded once more after its end.
+test('the end of a gang settles what its members had said before', () => {
+  const cache = new JobCache();
+  const gang = job('job-1', { spot: false, shape: 'gang', tasks: 2 });
+  gang.placed.set(0, { task: 0, attempt: 1, machine: 'm', since: 0 as Micros });
+  gang.placed.set(1, { task: 1, attempt: 1, machine: 'gone', since: 0 as Micros });
+  cache.apply({ key: activeKey('job-1'), value: encodeJob(gang, 0), stamp: 1 });
+  const book = new Book(worldSettings('n0'), cache, 5, 0 as Micros);
+  book.removed('gone');
+  book.report(said(5, 1, 1, { status: 'exited', cause: 'done' }), seconds(1));
+  const { done, gone } = book.ends.get('job-1')!;
+  assert.deepEqual([[...done], [...gone]], [[0, 1], [1]]);
+  book.settled('job-1', [0, 1], []);
+  assert.equal(book.ends.size, 0);
+});
+
 // It looked the best place for whatever waited: empty, with a current report, and every start sent to it was lost.
 test('what answers in vain start on a machine goes elsewhere, and the machine gets nothing for a while', () => {
   const book = placed(5);
