A session that fails ends its reign

It began again under the same term with a new book, to which an old copy of a report that shows the term's token proved the absence of starts sent since.

--- a/packages/controller/src/reign/session.ts
+++ b/packages/controller/src/reign/session.ts
@@ -154,6 +154,8 @@
         }),
       ),
       Effect.zipRight(info('no longer leads', { term: reign.term })),
+      // A new book of the same term would take an old copy that shows its token for newer than the starts sent before.
+      Effect.tapDefect(() => p.leadership.giveWay('session failed', 0)),
     );
   }
 
