--- a/packages/lab/src/world/world.ts
+++ b/packages/lab/src/world/world.ts
@@ -1010,7 +1010,9 @@
     const { meetings } = this;
     if (meetings) {
       if (t.meetings) meetings.together(troubled);
-      for (const m of MEETINGS.filter((x) => t[x])) kinds.push(meetings.kinds[m]);
+      for (const m of MEETINGS.filter((x) => t[x] && x !== 'gap')) kinds.push(meetings.kinds[m]);
+      // Twice, far enough apart for the first to be over.
+      if (t.gap) for (const part of [0.08, 0.6]) this.time.after(part * troubled, meetings.kinds.gap);
     }
     if (kinds.length > 0) {
       for (let at = 15e6; at < troubled; at += l.between(5e6, 25e6)) {
