--- a/packages/lab/src/world/state.ts
+++ b/packages/lab/src/world/state.ts
@@ -67,6 +67,8 @@
   slowUntil = 0;
   /** A watch whose time is over while its controller is not served ends with no answer. */
   watchesWait = false;
+  /** A transaction that will be carried out late is sent; what it answers is called when that happens. */
+  onLate: () => () => void = () => () => undefined;
   /** What met what, of the troubles of meetings.ts. */
   onMet: (what: string) => void = () => undefined;
 
@@ -236,7 +238,12 @@
     ): Effect.Effect<A, StateFailure> =>
       Effect.async<A, StateFailure>((resume) => {
         if (write && this.lateShare > 0 && this.luck.chance(this.lateShare)) {
-          this.time.after(this.luck.between(2e6, 12e6), () => void (this.out || go()));
+          const carried = this.onLate();
+          this.time.after(this.luck.between(2e6, 12e6), () => {
+            if (this.out) return;
+            carried();
+            go();
+          });
           this.time.after(limitMs * 1000, () => {
             port.lastRefused = this.time.now;
             resume(Effect.fail(new Lost({ reason: 'timeout' })));
--- a/packages/lab/src/world/world.ts
+++ b/packages/lab/src/world/world.ts
@@ -302,6 +302,11 @@
       },
       process: (node) => this.live.get(node),
       answering: (node) => (this.live.get(node)?.node.leadership.answering() ?? null) !== null,
+      heardFrom: (machine) =>
+        this.live
+          .get(this.leader() ?? '')
+          ?.node.book()
+          ?.machines.get(machine)?.reported === true,
       node: () => this.node(),
       crash: (node, back) => this.crash(node, back),
       giveWay: (node, forMicros) => {
