--- a/packages/lab/src/world/meetings.ts
+++ b/packages/lab/src/world/meetings.ts
@@ -3,7 +3,8 @@
  * with the others of the day, or laid over them by `together`. What really met is counted in `met`: a day that was meant to
  * bring a meeting about and did not shows nothing.
  */
-import { RECORD } from '@lilacvalve/controller/jobs/keys';
+import { decodeJob, decodeRecord } from '@lilacvalve/controller/jobs/codec';
+import { activeKey, RECORD } from '@lilacvalve/controller/jobs/keys';
 import type { Luck } from '@lilacvalve/controller/support/luck';
 import type { Arrival } from './crowd.js';
 import type { Rules } from './rules.js';
@@ -419,10 +420,29 @@
     } else if (first !== null && term !== null && term > first) this.meet('ends under two leaders');
   }
 
-  reaped(task: string): void {
-    const id = task.slice(0, task.indexOf('/'));
-    if (this.far.has(id) && this.firstEnd.has(id) && this.w.rules.state(id) === 'accepted')
-      this.meet('reap between ends');
+  reaped(task: string, done: boolean): void {
+    const at = task.indexOf('/');
+    const id = task.slice(0, at);
+    if (!this.far.has(id)) return;
+    const { rules } = this.w;
+    if (this.firstEnd.has(id) && rules.state(id) === 'accepted') this.meet('reap between ends');
+    if (done && !this.durable(id, Number(task.slice(at + 1))))
+      rules.broken.push(`reaped_early: ${task} at ${this.w.time.now}`);
+  }
+
+  /** The state service has it that the task completed, or that its job is over. */
+  private durable(id: string, task: number): boolean {
+    const { keys } = this.w.state;
+    const kept = keys.get(activeKey(id));
+    if (kept === undefined) return true;
+    const job = decodeJob(id, JSON.parse(kept.value), kept.stamp);
+    if (job.withdrawn || job.done.has(task)) return true;
+    for (const [key, { value, stamp }] of keys)
+      if (key.startsWith(RECORD) && value.includes(id)) {
+        const record = decodeRecord(Number(key.slice(RECORD.length)), JSON.parse(value), stamp);
+        if (record.jobs.get(id)?.done?.includes(task)) return true;
+      }
+    return false;
   }
 }
 
--- a/packages/lab/src/world/worker.ts
+++ b/packages/lab/src/world/worker.ts
@@ -41,7 +41,8 @@
   holds(by: Worker): number;
   /** A machine has gone on. */
   wentOn(lapsed: boolean): void;
-  reaped(task: string): void;
+  /** An ended task is forgotten by its machine; `done`: it had completed. */
+  reaped(task: string, done: boolean): void;
   handle(node: string, r: Incoming): Effect.Effect<Answer> | null;
   readonly links: Links;
   readonly nodes: readonly string[];
@@ -342,7 +343,7 @@
         if (t && t.attempt === o.try && t.status !== 'ended') this.halt(t, (o.windDownS ?? 0) * 1e6);
       } else if (t && t.attempt === o.try && t.status === 'ended') {
         this.tasks.delete(o.piece);
-        this.net.reaped(o.piece);
+        this.net.reaped(o.piece, t.cause === 'done');
       }
     }
   }
--- a/packages/lab/src/world/world.ts
+++ b/packages/lab/src/world/world.ts
@@ -487,8 +487,8 @@
   wentOn(lapsed: boolean): void {
     this.meetings?.wentOn(lapsed);
   }
-  reaped(task: string): void {
-    this.meetings?.reaped(task);
+  reaped(task: string, done: boolean): void {
+    this.meetings?.reaped(task, done);
   }
 
   crash(name: string, back: number): void {
