--- a/packages/controller/src/leadership/peers.ts
+++ b/packages/controller/src/leadership/peers.ts
@@ -144,6 +144,11 @@
     return this.fresh().some((b) => b.served);
   }
 
+  /** There are others, and none has answered lately. */
+  alone(): boolean {
+    return this.settings.peers.length > 0 && this.fresh().length === 0;
+  }
+
   /** The peer has answered lately: what is sent to it has a good chance to be answered. */
   reaches(label: string): boolean {
     const at = this.heardAt.get(label);
--- a/packages/controller/src/node.ts
+++ b/packages/controller/src/node.ts
@@ -179,6 +179,8 @@
     if (!feed.loaded || (doubt.incarnation === null && !doubt.active)) return 'starting';
     if (knownTypes() === null) return 'machine types unknown';
     if (!served() && peers.otherServed()) return 'state service refuses this node';
+    // Neither the state service nor any other controller: whoever of them is served answers users better.
+    if (!served() && peers.alone()) return 'cut off from the state service and the others';
     return null;
   };
 
--- a/packages/controller/test/contacts.test.ts
+++ b/packages/controller/test/contacts.test.ts
@@ -1,10 +1,13 @@
 /** When a leader gives way because workers don't reach it. */
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
+import { Effect, Fiber } from 'effect';
 import { pack } from 'msgpackr';
+import { NoAnswer } from '@lilacvalve/base/http-client';
 import { type Micros, plus, seconds } from '@lilacvalve/base/micros';
 import { Contacts } from '../src/leadership/contacts.js';
-import { readBeat } from '../src/leadership/peers.js';
+import { Peers, readBeat } from '../src/leadership/peers.js';
+import type { Settings } from '../src/settings/settings.js';
 import { worldSettings } from './support/settings.js';
 
 const ZERO = 0 as Micros;
@@ -75,3 +78,30 @@
   for (const cut of [0, 1, 5, whole.length - 1]) assert.equal(readBeat(whole.subarray(0, cut)), null);
   assert.equal(readBeat(Buffer.from([0xc1, 0xff, 0x00])), null);
 });
+
+// Users that reached a leader cut from all others stayed with it, and got 503 for as long as the cut lasted.
+test('a controller is alone when no other has answered it lately, and only where there are others', async () => {
+  let at = ZERO;
+  let silent = false;
+  const beat = { from: 'n1', term: 1, served: true, loaded: true, contacts: 0 };
+  const port = {
+    exchange: () => (silent ? Effect.fail(new NoAnswer({ reason: 'timeout' })) : Effect.succeed(beat)),
+  };
+  const of = (settings: Settings): Peers =>
+    new Peers(
+      settings,
+      port,
+      () => beat,
+      () => at,
+    );
+  const one = of(worldSettings('n0', { peers: [] }));
+  const peers = of(worldSettings('n0', { peers: [{ label: 'n1', zone: 'a', address: '' }] }));
+  assert.deepEqual([one.alone(), peers.alone()], [false, true]);
+  const beats = Effect.runFork(peers.run);
+  await new Promise((go) => setTimeout(go, 50));
+  assert.equal(peers.alone(), false);
+  silent = true;
+  at = seconds(4);
+  assert.equal(peers.alone(), true);
+  await Effect.runPromise(Fiber.interrupt(beats));
+});
--- a/packages/controller/test/late-writes.test.ts
+++ b/packages/controller/test/late-writes.test.ts
@@ -253,7 +253,7 @@
   const cache = new JobCache();
   const doubt = new Doubt(time.clock, () => null);
   const store = new GuardedStore(service.port(who), doubt, time.clock);
-  const feed = new Feed(cache, store, time.clock, () => false, doubt);
+  const feed = new Feed(cache, store, time.clock, () => false, doubt, 0 as Micros);
   const users = userHandlers({
     ...{ settings: SETTINGS, store, feed, cache, doubt, clock: time.clock, dayTime: time.clock },
     ...{ mayBeNew: () => true, durable: () => true, leads: () => false, verified: () => true },
