--- a/packages/lab/src/world/state.ts
+++ b/packages/lab/src/world/state.ts
@@ -137,6 +137,17 @@
     return { keys, revision, changes };
   }
 
+  /** Every key as of one revision; not after a loss. */
+  *entriesAt(revision: number): Generator<{ readonly key: string; readonly value: unknown }> {
+    const keys = new Map<string, string>();
+    for (const e of this.log) {
+      if (e.stamp > revision) break;
+      if (e.value === undefined) keys.delete(e.key);
+      else keys.set(e.key, e.value);
+    }
+    for (const [key, value] of keys) yield { key, value: JSON.parse(value) as unknown };
+  }
+
   lose(loss: Loss): void {
     const ids = (prefix: string): string[] =>
       [...this.keys.keys()].filter((k) => k.startsWith(prefix)).sort();
--- a/packages/lab/src/world/world.ts
+++ b/packages/lab/src/world/world.ts
@@ -1334,11 +1334,6 @@
     );
   }
 
-  /** What the state service keeps. */
-  private *entries(): Generator<{ readonly key: string; readonly value: unknown }> {
-    for (const [key, v] of this.state.keys) yield { key, value: JSON.parse(v.value) as unknown };
-  }
-
   /** What the controllers' accounts have otherwise than one another. */
   accountsApart(): string[] {
     const out: string[] = [];
@@ -1376,7 +1371,9 @@
       const world = placed.total();
       const wrong =
         accounts.gaps.length === 0 ? differences(world, told) : beyondGaps(world, told, accounts.gaps);
-      if (this.lossAt.length === 0) wrong.push(...pagesWrong(this.entries(), accounts, placed));
+      // As of its own view: a page that was written a moment ago may not have come to it yet.
+      if (this.lossAt.length === 0)
+        wrong.push(...pagesWrong(this.state.entriesAt(node.cache.revision), accounts, placed));
       out.push(...wrong.map((w) => `accounts: ${name} as of ${accounts.upTo}: ${w}`));
     }
     return out;
