--- a/tools/regress.mjs
+++ b/tools/regress.mjs
@@ -121,7 +121,9 @@
   .filter((e) => e.cmd === 'score' || e.cmd === 'hunt');
 
 const spent = (day) =>
-  day.spent ? Object.entries(day.spent).reduce((n, [k, v]) => n + (k === 'turns' ? 0 : v[0]), 0) : null;
+  day.spent
+    ? Object.entries(day.spent).reduce((n, [k, v]) => n + (k !== 'turns' && Array.isArray(v) ? v[0] : 0), 0)
+    : null;
 const mean = (list) => list.reduce((n, x) => n + x, 0) / list.length;
 const rows = [];
 let bad = made.length === 0;
@@ -139,11 +141,18 @@
       })
       .sort((a, b) => a.part - b.part)[0];
     const unserved = least !== undefined && least.part < FAIL;
+    // What the bench itself counted of classes, teams and largest jobs, where it says so.
+    const under = e.days.flatMap((d) =>
+      (d.served ?? []).flatMap(([of, , part]) =>
+        part < FAIL ? [`${d.name}: ${of} ${part.toFixed(2)} served`] : [],
+      ),
+    );
     const broken = e.days.flatMap((d) => [
       ...Object.keys(d.rules ?? {}).map((r) => `${d.name}: ${r}`),
       ...(d.fault ? [`${d.name}: ${d.fault.slice(0, 60)}`] : []),
     ]);
     const drop = e.cmd === 'score' && was !== null && now < was - base.drop;
+    broken.push(...under);
     if (unserved) broken.push(`${least.day}: ${least.name} less than half served`);
     bad ||= broken.length > 0 || drop;
     const heaviest = [...e.days].sort((a, b) => (spent(b) ?? 1e9) - (spent(a) ?? 1e9))[0];
