--- a/packages/lab/src/world/world.ts
+++ b/packages/lab/src/world/world.ts
@@ -8,7 +8,7 @@
 import { type Micros, micros } from '@lilacvalve/base/micros';
 import { CloudRefused, type CloudPort } from '@lilacvalve/controller/fleet/cloud';
 import type { ListedMachine, MachineType } from '@lilacvalve/controller/fleet/model';
-import { INCARNATION, REBUILD } from '@lilacvalve/controller/jobs/keys';
+import { INCARNATION, REBUILD, RECORD } from '@lilacvalve/controller/jobs/keys';
 import { encodeRows } from '@lilacvalve/controller/accounts/codec';
 import { makeNode, type Node } from '@lilacvalve/controller/node';
 import type { Settings } from '@lilacvalve/controller/settings/settings';
@@ -259,7 +259,14 @@
       },
       (machine) => this.kindOf(machine),
     );
-    this.state.onPut = (key, value) => this.count.put(key, value);
+    const records = new Set<string>();
+    this.state.onPut = (key, value) => {
+      this.count.put(key, value);
+      // Not even once it is folded and deleted: a late copy of it finds no key, and must not commit.
+      if (!key.startsWith(RECORD) || value === undefined || this.lossAt.length > 0) return;
+      if (records.has(key)) this.rules.broken.push(`record_rewritten: ${key} at ${this.time.now}`);
+      records.add(key);
+    };
     this.state.onSpoilt = (key) => this.count.spoil(key);
     const s = this.settings('n0');
     this.limits = Object.fromEntries(s.teams.map((t) => [t.name, t.limit]));
