A view that is left takes its own revisions along; a reign that could not read leaves an orphan's lead

The next incarnation's revisions begin anew: one of them could pass for this node's own, and the view for more complete than it is. A campaign whose first read failed kept the leader's key, which an outage gives its full time again.

--- a/packages/controller/src/jobs/feed.ts
+++ b/packages/controller/src/jobs/feed.ts
@@ -62,6 +62,12 @@
     private readonly mayLag: Micros,
   ) {}
 
+  /** The view is left: another incarnation's revisions begin anew, and one of them may be one of its own before. */
+  leave(): void {
+    this.loaded = false;
+    this.own = [];
+  }
+
   /** What this node wrote as leader is committed: nothing in it is news to its view. */
   committed(revision: number): void {
     this.own = [...this.own.filter((r) => r > this.cache.revision), revision].sort((a, b) => a - b);
--- a/packages/controller/src/leadership/leadership.ts
+++ b/packages/controller/src/leadership/leadership.ts
@@ -255,8 +255,14 @@
       this.lease = lease;
       this.rightUntil = plus(asked, this.ttl * (1 - DRIFT) - MARGIN);
       this.store.leading(true);
-      // Placing needs a view that includes everything earlier terms committed.
-      yield* this.feed.refresh;
+      // Placing needs a view that includes everything earlier terms committed. Without one the lead is an orphan's: kept as
+      // this node's, it would have its full time again after an outage, and nobody could lead meanwhile.
+      yield* Effect.tapError(this.feed.refresh, () =>
+        Effect.sync(() => {
+          this.end();
+          this.lease = null;
+        }),
+      );
       if (this.cache.term !== term) return;
       this.reign = { term, stamp, began: this.clock() };
       Queue.unsafeOffer(this.begun, undefined);
--- a/packages/controller/src/node.ts
+++ b/packages/controller/src/node.ts
@@ -155,7 +155,7 @@
     leadership.forsake();
     verified = false;
     cache.clear();
-    feed.loaded = false;
+    feed.leave();
     doubt.leave();
   };
   const leadership: Leadership = new Leadership(
--- a/packages/controller/test/hold.test.ts
+++ b/packages/controller/test/hold.test.ts
@@ -2,7 +2,11 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { DRIFT, type Micros, seconds } from '@lilacvalve/base/micros';
+import type { Doubt } from '../src/doubt/doubt.js';
+import { JobCache } from '../src/jobs/cache.js';
+import { Feed } from '../src/jobs/feed.js';
 import { holdEnds, mayAnswer, mayLag, nothingAfter, type Said } from '../src/leadership/hold.js';
+import type { StatePort } from '../src/state-store/port.js';
 import { Luck } from './support/luck.js';
 
 const TTL = seconds(3);
@@ -119,3 +123,20 @@
   for (const what of ['right', 'hold', 'covered', 'unknown'])
     assert.ok((met.get(what) ?? 0) > 100, `${what}: ${met.get(what)}`);
 });
+
+test('what this node wrote counts as known right after its view, and no more once that is left', () => {
+  const cache = new JobCache();
+  cache.revision = 4;
+  const feed = new Feed(
+    cache,
+    {} as StatePort,
+    () => 0 as Micros,
+    () => true,
+    {} as Doubt,
+    seconds(1),
+  );
+  for (const revision of [6, 5, 8]) feed.committed(revision);
+  assert.equal(feed.completeTo(), 6);
+  feed.leave();
+  assert.deepEqual([feed.loaded, feed.completeTo()], [false, 4]);
+});
