--- a/packages/controller/test/book.test.ts
+++ b/packages/controller/test/book.test.ts
@@ -78,8 +78,9 @@
 });
 
 /** The book of a term in which `job-1/0` is placed on `m`. */
-const placed = (term: number, began = 0): Book => {
+const placed = (term: number, began = 0, withdrawn = false): Book => {
   const started = job('job-1', { spot: false });
+  started.withdrawn = withdrawn;
   started.attempt = 1;
   started.placed.set(0, { task: 0, attempt: 1, machine: 'm', since: 0 as Micros });
   const cache = new JobCache();
@@ -128,7 +129,7 @@
 
 // A leader that doubted the store for longer than a lease went on answering; then it counted all leases from before.
 test('leases count from what was answered during a doubt, and what came then is not taken for older', () => {
-  const book = placed(5);
+  let book = placed(5);
   let at = 0;
   let active = true;
   const reign = { term: 5, stamp: 1, began: 0 as Micros };
@@ -157,6 +158,12 @@
   assert.equal(book.isEnding('job-1', 0), false, 'an old copy');
   answered(said(5, 1, 31, { status: 'running' }), 32);
   assert.deepEqual(book.lapse(seconds(60), true), ['m']);
+  // What users cancelled went on under leases renewed in doubt where the first stop had been lost.
+  active = true;
+  book = placed(5, 0, true);
+  receive([said(5, 1, 1, { status: 'running' })], (a) =>
+    assert.match(a!.bodies[0]!, /"stop".*"job-1\/0"/, 'stopped in doubt too'),
+  );
 });
 
 // A machine that reported, and that answers did not reach, held its job's place for as long as it went on.
