--- a/packages/controller/test/book.test.ts
+++ b/packages/controller/test/book.test.ts
@@ -34,49 +34,6 @@
   assert.deepEqual(book.lapse(seconds(118), true), ['unheard']);
 });
 
-// A late report of the session before was taken in first. An older leader had repeated the start in the new one, where it
-// ran on while this leader started it elsewhere.
-test('a new session ends what ran in the one before, but not what it holds itself', () => {
-  const started = job('job-1', { spot: false });
-  started.attempt = 1;
-  started.placed.set(0, { task: 0, attempt: 1, machine: 'm', since: 0 as Micros });
-  const told = (token: number, holds: boolean): boolean => {
-    const cache = new JobCache();
-    cache.apply({
-      key: activeKey('job-1'),
-      value: JSON.parse(JSON.stringify(encodeJob(started, 0))),
-      stamp: 1,
-    });
-    const book = new Book(worldSettings('n0'), cache, 5, 0 as Micros);
-    const report = (tenure: number, known: number, there: boolean) =>
-      book.report(
-        {
-          machine: 'm',
-          addr: '',
-          type: 'c8',
-          zone: 'a',
-          spot: false,
-          tenure,
-          tick: tenure,
-          token: known,
-          recall: null,
-          tasks: there
-            ? [{ key: 'job-1/0', attempt: 1, status: 'running' as const, cause: null, saved: false }]
-            : [],
-        },
-        seconds(tenure),
-      );
-    report(3, 4, true);
-    report(4, token, holds);
-    return book.isEnding('job-1', 0);
-  };
-  assert.equal(told(5, false), true);
-  assert.equal(told(5, true), false);
-  assert.equal(told(4, true), false);
-  // It may still come, in the older leader's answer.
-  assert.equal(told(4, false), false);
-});
-
 /** The book of a term in which `job-1/0` is placed on `m`. */
 const placed = (term: number, began = 0, withdrawn = false): Book => {
   const started = job('job-1', { spot: false });
@@ -104,6 +61,24 @@
       : [{ key: 'job-1/0', attempt: 1, status: 'running', cause: null, saved: false, ...over }],
 });
 
+// A late report of the session before was taken in first. An older leader had repeated the start in the new one, where it
+// ran on while this leader started it elsewhere.
+test('a new session ends what ran in the one before, but not what it holds itself', () => {
+  const told = (token: number, holds: boolean): boolean => {
+    const book = placed(5);
+    const report = (tenure: number, known: number, there: boolean) =>
+      book.report(said(known, tenure, tenure, there ? {} : null), seconds(tenure));
+    report(3, 4, true);
+    report(4, token, holds);
+    return book.isEnding('job-1', 0);
+  };
+  assert.equal(told(5, false), true);
+  assert.equal(told(5, true), false);
+  assert.equal(told(4, true), false);
+  // It may still come, in the older leader's answer.
+  assert.equal(told(4, false), false);
+});
+
 // The new leader heard of an exit that the old one, which held on, had not heard of: it started the same attempt again in
 // the machine's next session, while the new one started the task elsewhere.
 test('an exit counts once no older leader can start that attempt again', () => {
