Answering a report looks through what the others say only where the own right and read are not enough

The decision is the same function, asked first with the own read alone: a right within that needs no more.

--- a/packages/controller/src/leadership/leadership.ts
+++ b/packages/controller/src/leadership/leadership.ts
@@ -98,12 +98,14 @@
   answering(): Reign | null {
     const { reign } = this;
     if (reign === null) return null;
-    const standing = {
-      rightUntil: this.doubt.active ? Number.NEGATIVE_INFINITY : this.rightUntil,
-      confirmedUntil: this.peers.confirmedUntil(reign.term),
-      knownAsOf: this.knownAsOf(),
+    const may = (confirmedUntil: number, knownAsOf: number): boolean => {
+      const rightUntil = this.doubt.active ? Number.NEGATIVE_INFINITY : this.rightUntil;
+      const standing = { rightUntil, confirmedUntil, knownAsOf };
+      return mayAnswer(this.clock(), standing, this.settings.workers, this.ttl) !== null;
     };
-    return mayAnswer(this.clock(), standing, this.settings.workers, this.ttl) === null ? null : reign;
+    // Asked twice for each report: what the others say is looked through only where the own right and read are not enough.
+    if (may(Number.NEGATIVE_INFINITY, this.feed.readAsOf)) return reign;
+    return may(this.peers.confirmedUntil(reign.term), this.knownAsOf()) ? reign : null;
   }
 
   /** The reign is not over, though it may be without right for the moment. */
