--- a/packages/lab/src/experiment.ts
+++ b/packages/lab/src/experiment.ts
@@ -2,6 +2,7 @@
 import { Schema } from 'effect';
 import { checkedToml } from '@lilacvalve/base/toml';
 import { LINK_STATES } from './world/links.js';
+import { MEETINGS } from './world/meetings.js';
 import type { Loss } from './world/state.js';
 import {
   CROWDED,
@@ -39,6 +40,8 @@
   'lending',
   'cutoffs',
   'clockSteps',
+  'meetings',
+  ...MEETINGS,
 ] as const satisfies readonly (keyof Troubles)[];
 
 const Seconds = Schema.Finite.pipe(Schema.nonNegative());
--- a/packages/lab/src/play.ts
+++ b/packages/lab/src/play.ts
@@ -43,6 +43,8 @@
   /** There was room for all. */
   readonly room: boolean;
   readonly struck: Readonly<Record<string, number>>;
+  /** What met what; see world/meetings.ts. */
+  readonly met: Readonly<Record<string, number>>;
   readonly recovery: Recovery;
   /** Loans made, and how services fared: seconds of replicas wanted and up, services in all and complete within 60 s. */
   readonly lending: {
@@ -136,6 +138,7 @@
     least: world.least(),
     room: x.room,
     struck: { ...world.struck },
+    met: { ...world.meetings?.met },
     recovery: { ...took },
     lending: world.loans && {
       loans: world.loans.made,
--- a/packages/lab/src/world/rules.ts
+++ b/packages/lab/src/world/rules.ts
@@ -70,6 +70,9 @@
   /** When the last one was. */
   startedAt = 0;
 
+  /** A task has completed. */
+  onComplete: (task: string) => void = () => undefined;
+
   constructor(
     private readonly cancelWithin: number,
     private readonly limits: Record<string, { cpus: number; gpus: number }>,
@@ -137,6 +140,12 @@
     }
   }
 
+  /** A task of the job is on a machine. */
+  isOn(id: string): boolean {
+    for (const task of this.on.keys()) if (task.startsWith(`${id}/`)) return true;
+    return false;
+  }
+
   leave(task: string, machine: string): void {
     const there = this.on.get(task);
     there?.delete(machine);
@@ -165,6 +174,7 @@
     const set = this.completed.get(id) ?? new Set<number>();
     set.add(Number(task.slice(at + 1)));
     this.completed.set(id, set);
+    this.onComplete(task);
   }
 
   cancelAsked(id: string): boolean {
--- a/packages/lab/src/world/world.ts
+++ b/packages/lab/src/world/world.ts
@@ -19,6 +19,7 @@
 import { calendarOf, Cutoffs } from './cutoffs.js';
 import { coming, LENDING_TEAMS, Loans, Serving, type Step } from './lending.js';
 import { Links, type LinkState } from './links.js';
+import { type Meeting, Meetings, MEETINGS } from './meetings.js';
 import { type Fact, Memory, type Process } from './memory.js';
 import { BY_MEMORY, type Got, Rules } from './rules.js';
 import { type Loss, StateService } from './state.js';
@@ -56,7 +57,7 @@
   deleted: boolean;
 }
 
-export interface Troubles {
+export interface Troubles extends Readonly<Partial<Record<Meeting, boolean>>> {
   readonly nodeCrash?: boolean;
   readonly stateOutage?: boolean;
   readonly stateCut?: boolean;
@@ -102,6 +103,8 @@
   readonly clockSteps?: boolean;
   /** A team without guarantee comes with one huge array and many tiny jobs. */
   readonly guests?: boolean;
+  /** Two to four of the troubles of meetings.ts, overlapping, twice in the day. */
+  readonly meetings?: boolean;
   /** Services on GPUs, fine-tuning and batch beside them, and leaders that die between the steps of a loan. */
   readonly lending?: boolean;
 }
@@ -208,6 +211,8 @@
   over = 0;
   /** Tasks that a worker killed because its lease ran out. */
   killed = 0;
+  /** null: none of its troubles is on. */
+  readonly meetings: Meetings | null;
   readonly loans: Loans | null;
   readonly serving = new Serving();
   private troubledUntil = 0;
@@ -267,12 +272,48 @@
         )
       : null;
     if (this.loans) this.state.onCommit = (key, value, stamp) => this.loans!.committed(key, value, stamp);
+    this.meetings =
+      troubles.meetings || MEETINGS.some((m) => troubles[m]) ? new Meetings(this.stage()) : null;
+    this.rules.onComplete = (task) => this.meetings?.completed(task);
     this.time.onStep = () => this.rules.check(this.time.now);
     for (const n of this.nodes) this.boot(n);
     if ((troubles.losses?.length ?? 0) > 0) this.watch();
     if (troubles.lost) this.state.lossy = 0.03;
   }
 
+  private stage(): ConstructorParameters<typeof Meetings>[0] {
+    const { workers } = this.settings('n0');
+    return {
+      time: this.time,
+      luck: this.luck,
+      state: this.state,
+      rules: this.rules,
+      jobs: this.jobs,
+      workers: this.workers,
+      nodes: this.nodes,
+      lease: workers.lease,
+      cancelWithin: workers.cancel,
+      strike: (what) => this.strike(what),
+      troubled: (lasts) => this.troubled(lasts),
+      leader: () => this.leader(),
+      term: () => {
+        const leader = this.leader();
+        return leader === undefined ? null : this.live.get(leader)!.node.leadership.leads();
+      },
+      process: (node) => this.live.get(node),
+      answering: (node) => (this.live.get(node)?.node.leadership.answering() ?? null) !== null,
+      node: () => this.node(),
+      crash: (node, back) => this.crash(node, back),
+      giveWay: (node, forMicros) => {
+        const l = this.live.get(node);
+        if (l) this.time.fork(l.node.leadership.giveWay('handover', forMicros), l.host);
+      },
+      cut: (a, b, state, lasts) => this.cut(a, b, state, lasts),
+      submit: (arrival, via) => this.submit(null, undefined, arrival, via),
+      cancel: (id, via, confirmed) => this.cancel(id, via, confirmed),
+    };
+  }
+
   /** Any controller: users reach them through a load balancer. */
   private node(): string {
     return this.nodes[this.luck.int(this.nodes.length)]!;
@@ -432,6 +473,19 @@
     this.sent.delete(from);
   }
 
+  reported(by: Worker, node: string, body: Buffer): void {
+    this.meetings?.reported(by, node, body);
+  }
+  holds(by: Worker): number {
+    return this.meetings?.holds(by) ?? 0;
+  }
+  wentOn(lapsed: boolean): void {
+    this.meetings?.wentOn(lapsed);
+  }
+  reaped(task: string): void {
+    this.meetings?.reaped(task);
+  }
+
   crash(name: string, back: number): void {
     const l = this.live.get(name);
     if (!l) return;
@@ -445,6 +499,7 @@
 
   handle(node: string, r: Incoming): Effect.Effect<Answer> | null {
     const l = this.live.get(node);
+    if (l && r.path === '/agent/beat') this.meetings?.heard(node);
     // It waits unread in the node's sockets while that stands still.
     return l
       ? Effect.zipLeft(
@@ -612,10 +667,11 @@
     cancelAfter: number | null,
     guest?: { readonly tasks: number; readonly cpus: number },
     crowd: Arrival | null = null,
-  ): void {
+    via = (): string => this.node(),
+  ): string | undefined {
     const l = this.luck;
     const id = `job-${String(l.int(1e9)).padStart(9, '0')}`;
-    if (this.jobs.has(id)) return;
+    if (this.jobs.has(id)) return undefined;
     const shape = l.chance(0.35) ? 'ensemble' : l.chance(0.1) && cancelAfter !== null ? 'daemon' : 'array';
     const gpus = l.chance(0.3) ? 1 : 0;
     const oneZone = l.chance(0.4);
@@ -686,7 +742,7 @@
     });
     this.rules.specs.set(id, job);
     const attempt = (n: number): void => {
-      this.call(this.node(), 'POST', '/work', body, (a, got) => {
+      this.call(via(), 'POST', '/work', body, (a, got) => {
         if (a) this.rules.submitted(id, a.status, this.time.now, got);
         if (a && (a.status === 200 || a.status === 201)) {
           this.accepted++;
@@ -706,11 +762,17 @@
     };
     attempt(0);
     if (cancelAfter !== null) this.time.after(cancelAfter, () => this.cancel(id));
+    return id;
   }
 
-  private cancel(id: string): void {
+  private cancel(
+    id: string,
+    via = (): string => this.node(),
+    confirmed: (by: string) => void = () => undefined,
+  ): void {
     this.rules.askCancel(id);
-    this.call(this.node(), 'POST', `/work/${id}/withdraw`, null, (a, got) => {
+    const by = via();
+    this.call(by, 'POST', `/work/${id}/withdraw`, null, (a, got) => {
       if (a?.status === 200) {
         this.rules.answered(
           id,
@@ -720,7 +782,8 @@
           undefined,
           got,
         );
-      } else this.time.after(1e6, () => this.cancel(id));
+        if (this.rules.state(id) === 'aborted') confirmed(by);
+      } else this.time.after(1e6, () => this.cancel(id, via, confirmed));
     });
   }
 
@@ -736,6 +799,9 @@
       if (a) this.rules.answered(id, a.status, state, this.time.now, said?.done, got);
       if (a !== null && a.status !== 503) this.answersAt = this.time.now;
       if (state === 'done' || state === 'aborted') {
+        // What is over is asked about to the day's end.
+        if (this.meetings) this.time.after(6e6, () => this.poll(id));
+        if (this.meetings?.overBefore(id)) return;
         this.over++;
         this.time.after(this.luck.between(1e6, 90e6), () =>
           this.call(this.node(), 'GET', `/work/${id}`, null, (b, later) => {
@@ -941,6 +1007,11 @@
         this.time.after(lasts, () => (this.cloudOut = false));
       });
     }
+    const { meetings } = this;
+    if (meetings) {
+      if (t.meetings) meetings.together(troubled);
+      for (const m of MEETINGS.filter((x) => t[x])) kinds.push(meetings.kinds[m]);
+    }
     if (kinds.length > 0) {
       for (let at = 15e6; at < troubled; at += l.between(5e6, 25e6)) {
         this.rules.calmAt = Math.max(this.rules.calmAt, at);
@@ -954,6 +1025,8 @@
       this.second();
       if (at % 5e6 === 0) this.rules.broken.push(...this.accountsApart());
       this.judge();
+      // Long enough for a job that nobody answers for to show.
+      if (meetings && at < this.rules.calmAt + 90e6) continue;
       if (at > troubled + 60e6 && this.unfinished().length === 0) break;
     }
     if (this.diedIn === 0) this.rules.broken.push(...this.accountsWrong());
