An end of the node's own is told only once what was committed before it is read

A leader takes its own record into its view as soon as it is committed, ahead of its reads. A withdrawal committed just before, through another controller, could be missing there, and a question or cancellation at the leader whose read had begun before both was answered `done` while everybody else said `aborted`: one more read in that case only. Seen to fail without `endAhead` in lookUp (answers.test.ts: 'done' instead of 'aborted', for a question and for a cancellation).

--- a/packages/controller/src/api/handlers.ts
+++ b/packages/controller/src/api/handlers.ts
@@ -122,6 +122,16 @@
       return null;
     });
 
+  /**
+   * The job is complete by a record of this node's own, and what was committed just before that one is not read yet. A
+   * withdrawal among it would have come first: called `done` here, the job would be `aborted` for everybody else.
+   */
+  const endAhead = (id: string): boolean => {
+    const job = d.cache.jobs.get(id);
+    if (job === undefined || job.withdrawn || !isComplete(job)) return false;
+    return (d.cache.tail.get(d.cache.lastSeq)?.stamp ?? 0) > d.feed.completeTo();
+  };
+
   /** The job as of now: over, active, named by workers only, or never accepted. */
   type Found = { readonly final: FinalState } | { readonly job: Job } | { readonly ward: Ward } | null;
   const lookUp = (id: string): Effect.Effect<Found, StateFailure> =>
@@ -130,6 +140,7 @@
       const over = d.cache.finals.get(id);
       if (over && d.durable()) return { final: over };
       yield* d.feed.refresh;
+      if (endAhead(id)) yield* d.feed.refresh;
       const known = d.cache.finals.get(id);
       if (known && !d.durable()) return yield* Effect.fail(unsure);
       if (known) return { final: known };
