Folding a cancelled job's key takes its cancellation back no longer

Whether a job's last record or its withdrawal was first is told by their revisions, the withdrawal's being that of the job's key. Folding writes that key anew, after waiting for its part of the budget: a record that completed the cancelled job meanwhile then looked as if it had been there before the withdrawal, and every controller called done what users had been told is cancelled. A folded key now says that its withdrawal comes before all later records. Seen to fail before (late-writes.test.ts, 'a cancelled job whose last task completes while its key is folded').

--- a/packages/controller/src/jobs/cache.ts
+++ b/packages/controller/src/jobs/cache.ts
@@ -417,7 +417,7 @@
     applyChange(job, change, r.seq, r.head.at);
     if (change.done !== undefined && isComplete(job)) this.noteEnd(job.spec.id, r.stamp);
     // It completed the job before the withdrawal in the job's key was committed: users may have been told `done`.
-    if (job.withdrawn && r.stamp < job.stamp && isComplete(job)) job.withdrawn = false;
+    if (job.withdrawn && !job.withdrawnFirst && r.stamp < job.stamp && isComplete(job)) job.withdrawn = false;
   }
 
   private noteEnd(id: string, stamp: number): void {
--- a/packages/controller/src/jobs/codec.ts
+++ b/packages/controller/src/jobs/codec.ts
@@ -114,6 +114,8 @@
   readonly l: number | null;
   readonly t: number;
   readonly w?: 1;
+  /** With `w`: `Job.withdrawnFirst`. */
+  readonly v?: 1;
   readonly f?: number;
   readonly a?: number;
   readonly d?: string;
@@ -178,6 +180,7 @@
     l: s.deadline,
     t: s.submitted,
     ...(job.withdrawn ? { w: 1 as const } : {}),
+    ...(job.withdrawn && job.withdrawnFirst ? { v: 1 as const } : {}),
     ...(folded > 0 ? { f: folded } : {}),
     ...(job.attempt > 0 ? { a: job.attempt } : {}),
     ...(job.done.size > 0 ? { d: encodeRanges(job.done) } : {}),
@@ -227,6 +230,7 @@
       tie: typeof v.k === 'string' ? v.k : null,
     },
     withdrawn: v.w === 1,
+    ...(v.v === 1 ? { withdrawnFirst: true } : {}),
     attempt: v.a ?? 0,
     done: new Set(decodeRanges(v.d ?? '')),
     placed,
--- a/packages/controller/src/jobs/model.ts
+++ b/packages/controller/src/jobs/model.ts
@@ -51,6 +51,8 @@
 export interface Job {
   readonly spec: JobSpec;
   withdrawn: boolean;
+  /** Its withdrawal was committed before any record that its own key does not include. */
+  withdrawnFirst?: boolean;
   /** Attempts are numbered per job and only grow; members of one gang start share a number. */
   attempt: number;
   readonly done: Set<number>;
--- a/packages/controller/src/scheduler/records.ts
+++ b/packages/controller/src/scheduler/records.ts
@@ -288,7 +288,9 @@
       if (then.length + more.length + 1 > Math.min(ops, UPKEEP_OPS) && then.length > 0) break;
       const writes: Write[] = more.map((job) => ({
         set: activeKey(job.spec.id),
-        value: encodeJob(job, upTo),
+        // This view has every record up to the withdrawal. One that completes the job while this write is on its way must not
+        // look as if it had come first, by the key's new revision: what users were told is cancelled would be done.
+        value: encodeJob({ ...job, withdrawnFirst: job.withdrawn }, upTo),
       }));
       const size = JSON.stringify(writes).length;
       if (bytes + size > 48 * 1024 && then.length > 0) break;
--- a/packages/controller/test/late-writes.test.ts
+++ b/packages/controller/test/late-writes.test.ts
@@ -421,7 +421,7 @@
           const ends = { done: new Set<number>(), gone: new Set<number>(), failed: new Set<number>() };
           for (const n of j.placed.keys())
             if (!t.book.isEnding(j.spec.id, n) && luck.chance(0.25))
-              ends[j.withdrawn || luck.chance(0.3) ? 'gone' : 'done'].add(n);
+              ends[luck.chance(j.withdrawn ? 0.6 : 0.3) ? 'gone' : 'done'].add(n);
           if (ends.done.size + ends.gone.size > 0 && !t.book.ends.has(j.spec.id))
             t.book.ends.set(j.spec.id, ends);
           const free = Array.from({ length: j.spec.tasks }, (_, n) => n).filter(
@@ -539,6 +539,39 @@
   assert.ok(service.view().checkpoint.upTo >= 8);
 });
 
+// Folding waits for its part of the budget, and writes a job's key as it was: cancelled, its last task still running.
+test('a cancelled job whose last task completes while its key is folded stays cancelled', () => {
+  const { service, node, go, turn } = calm([kept(fresh('job-1')), kept(fresh('job-2'))]);
+  const one = [...Array(3).keys()];
+  go(commit(turn, [{ job: node.cache.jobs.get('job-1')!, attempt: 1, on: new Map([['m', one]]) }]));
+  const ends = (id: string, done: number[], gone: number[]): void =>
+    void turn.book.ends.set(id, { done: new Set(done), gone: new Set(gone), failed: new Set() });
+  go(node.users.withdraw('job-1'));
+  assert.ok(node.cache.jobs.get('job-1')!.withdrawn);
+  ends('job-1', [0], []);
+  go(commit(turn, []));
+  // Until that record is among those to be folded.
+  for (let n = 0; n < 4; n++) {
+    ends('job-2', [], [0]);
+    go(commit(turn, []));
+  }
+  const { port } = service;
+  const slow: StatePort = {
+    ...port(),
+    transact: (...a) => Effect.zipRight(Effect.sleep(1000), port().transact(...a)),
+  };
+  const before = service.keys.get(activeKey('job-1'))!.stamp;
+  ends('job-1', [1, 2], []);
+  go(Effect.all([upkeep({ ...turn, store: slow }), commit(turn, [])], { concurrency: 2 }), 3);
+  assert.ok(service.keys.get(activeKey('job-1'))!.stamp > before, 'it must have been folded');
+  for (const c of [node.cache, service.view()]) {
+    const j = c.jobs.get('job-1')!;
+    assert.deepEqual([j.done.size, j.withdrawn], [3, true]);
+  }
+  go(upkeep(turn));
+  assert.deepEqual(decodeFinal(service.keys.get('s/j/z/job-1')!.value).status, 'cancelled');
+});
+
 test('a key that somebody has changed is no lost key when the read that would show it fails', () => {
   const { service, node, go, turn } = calm([kept(fresh('job-1'))]);
   service.transact([], [kept(fresh('job-1', { withdrawn: true }))]);
