Odd submissions: 422 where that can be said without machine types, and for types that no zone offers

- without machine types an unknown team or a job beyond its team's limit got 503, though nothing of it hangs on the types;
- a job that fits only a type that no zone offers was accepted, and so was a gang that has to be in one zone of which it may use half (scatter with samePlace, room, or only one zone that offers what fits): both would have waited for ever;
- the 400 for too long a list of types did not name it.

A repeated submission of a known job still gets its state whatever its body says.

--- a/packages/controller/src/api/handlers.ts
+++ b/packages/controller/src/api/handlers.ts
@@ -80,24 +80,41 @@
   });
 };
 
-/** Why a job can never run here; null if it can. */
-export const impossible = (s: JobSpec, settings: Settings, types: readonly MachineType[]): string | null => {
+/**
+ * Why a job can never run here; null if it can. Without the machine types (null) only what does not hang on them is
+ * said, and null does not mean that it can.
+ */
+export const impossible = (
+  s: JobSpec,
+  settings: Settings,
+  types: readonly MachineType[] | null,
+): string | null => {
   const team = settings.teams.find((t) => t.name === s.team);
   if (!team) return 'unknown team';
-  const fit = types.some(
-    (t) =>
-      (s.types === null || s.types.includes(t.name)) &&
-      (s.zone === null || t.zones.includes(s.zone)) &&
-      s.cpus <= t.cpus + 1e-9 &&
-      s.gpus <= t.gpus + 1e-9 &&
-      s.memGb <= t.memGb + 1e-9,
-  );
-  if (!fit) return 'a task fits no allowed machine type';
   const count = s.shape === 'array' ? 1 : s.tasks;
   const l = team.limit;
   if ((l.cpus > 0 && s.cpus * count > l.cpus + 1e-9) || (l.gpus > 0 && s.gpus * count > l.gpus + 1e-9)) {
     return 'needs more than the limit of its team';
   }
+  // All tasks of a gang at once, and no zone may have more than half of them: accepted, it would wait for ever. An array
+  // or a service runs with those that may be there.
+  const apart = s.shape === 'gang' && s.spread && s.tasks > 1;
+  if (apart && (s.oneZone || s.zone !== null)) return 'a gang of one zone may not be in one zone';
+  if (types === null) return null;
+  /** Zones that offer a type on which a task fits: a type that no zone offers can't be rented. */
+  const zones = new Set(
+    types
+      .filter(
+        (t) =>
+          (s.types === null || s.types.includes(t.name)) &&
+          s.cpus <= t.cpus + 1e-9 &&
+          s.gpus <= t.gpus + 1e-9 &&
+          s.memGb <= t.memGb + 1e-9,
+      )
+      .flatMap((t) => (s.zone === null ? t.zones : t.zones.filter((z) => z === s.zone))),
+  );
+  if (zones.size === 0) return 'a task fits no allowed machine type';
+  if (apart && zones.size === 1) return 'only one zone offers what fits, and a gang may not be in one zone';
   return null;
 };
 
@@ -206,11 +223,7 @@
       if (d.cache.finals.has(id) || d.cache.jobs.has(id)) return yield* sayFound(id, yield* lookUp(id));
       const read = readSubmission(body, d.dayTime());
       const types = d.types();
-      const never = Either.isLeft(read)
-        ? null
-        : types === null
-          ? null
-          : impossible(read.right, d.settings, types);
+      const never = Either.isLeft(read) ? null : impossible(read.right, d.settings, types);
       if (Either.isLeft(read) || never !== null) {
         const found = yield* lookUp(id);
         if (found !== null) return yield* sayFound(id, found);
@@ -235,7 +248,8 @@
       };
       const value = encodeJob(job, 0);
       if (Buffer.byteLength(JSON.stringify(value)) > d.settings.state.valueBytes) {
-        return json(400, { error: 'job description too large' });
+        // All other fields are short, or name a team or a zone that there is.
+        return json(400, { error: 'hostsKinds: too long' });
       }
       for (;;) {
         const r = yield* Effect.either(
--- a/packages/controller/src/jobs/codec.ts
+++ b/packages/controller/src/jobs/codec.ts
@@ -25,7 +25,10 @@
   type Urgency,
 } from './model.js';
 
-const Amount = Schema.Finite.pipe(Schema.nonNegative(), Schema.lessThanOrEqualTo(1e9));
+const Amount = Schema.Finite.pipe(Schema.nonNegative());
+/** Decades: counted in microseconds, times stay whole. The protocol has no bound of its own, so what is longer is no fault. */
+const LONGEST_S = 1e9;
+const duration = (s: number): Micros => seconds(Math.min(s, LONGEST_S));
 const ShortText = Schema.String.pipe(Schema.minLength(1), Schema.maxLength(200));
 const NoneOr = <A, I>(s: Schema.Schema<A, I>) =>
   Schema.optionalWith(Schema.NullOr(s), { default: () => null });
@@ -80,16 +83,17 @@
         gpus: b.accelerators,
         memGb: b.memGb,
         image: b.bundle,
-        imageGb: b.imageGb,
+        // Fetching it is estimated in microseconds as well.
+        imageGb: Math.min(b.imageGb, LONGEST_S),
         types: b.hostsKinds,
         zone: b.room,
         oneZone: b.samePlace,
         spread: b.scatter,
         spot: b.borrowed,
-        estimate: seconds(b.expectS),
-        checkpoint: seconds(b.saveEveryS),
-        save: seconds(b.saveTakesS),
-        deadline: b.dueS === null ? null : seconds(b.dueS),
+        estimate: duration(b.expectS),
+        checkpoint: duration(b.saveEveryS),
+        save: duration(b.saveTakesS),
+        deadline: b.dueS === null ? null : duration(b.dueS),
         submitted,
         tie: null,
       }),
