A view that no peer has compared counts as one that may be of any time

All records were lost without a change to tell of it; a controller that started after that read jobs' keys as they were folded before, with two tasks on their machines that a record had ended since. It could reach nobody (its peers' links were cut), so nobody told it what was missing, and its view, the latest by its revision, was joined as the whole truth: the tasks were placed again, and booked a second time when they were found gone.

A view counts as whole only once a peer has compared it with its own, or none that answers has one; while all were silent they are asked again every 1.5 s. Answers to users hang on the first round only, as before.

Test: who read the store after records were lost does not bring back what they ended.

--- a/packages/controller/src/node.ts
+++ b/packages/controller/src/node.ts
@@ -121,8 +121,10 @@
     settings.limits.cores,
     ports.dayTime,
   );
-  /** This node's view has been held against a peer's since it was read. */
+  /** This node's view has been held against a peer's since it was read, or all have been asked in vain. */
   let verified = false;
+  /** Not in vain: one has compared it, or none that lives has a view of its own. */
+  let compared = false;
   const verify = duty(
     'verify',
     Effect.gen(function* () {
@@ -133,27 +135,34 @@
         yield* Effect.sleep(40);
         return;
       }
-      if (!feed.loaded || doubt.incarnation === null || doubt.active || verified) {
+      if (!feed.loaded || doubt.incarnation === null || doubt.active || (verified && compared)) {
         yield* verified ? tick(1500) : Effect.sleep(feed.loaded ? 300 : 40);
         return;
       }
       const parts = { doubt, store, feed, cache, port: ports.views };
-      yield* Effect.forEach(settings.peers, (peer) => verifyWith(parts, peer), {
+      const told = yield* Effect.forEach(settings.peers, (peer) => verifyWith(parts, peer), {
         concurrency: 'unbounded',
-        discard: true,
       });
       // None could tell, or all have been asked in vain: nobody who answers knows better.
       verified = feed.loaded && !doubt.active;
+      compared = verified && (told.includes('compared') || !told.includes('silent'));
+      // Those who were silent may know better once they can be reached.
+      if (verified && !compared) yield* tick(1500);
     }).pipe(Effect.forever),
   );
-  /** This node's view has all that it should have: no value was found damaged, no peer has shown a key to be lost. */
-  const whole = (): boolean => doubt.standing?.proven !== true && cache.hole() === null;
+  /**
+   * This node's view has all that it should have: a peer has compared it with its own since it was read, no value was found
+   * damaged, no peer has shown a key to be lost. One that was read after records were lost looks like the latest, and says
+   * what has ended to be placed still: joined as such, it would be placed, and booked, a second time.
+   */
+  const whole = (): boolean => compared && doubt.standing?.proven !== true && cache.hole() === null;
   /** This node's view is of an incarnation that is over. */
   const leaveView = (): void => {
     if (doubt.incarnation !== null && (cache.jobs.size > 0 || cache.finals.size > 0))
       relics.keep(relics.relicOf(cache, doubt.incarnation.generation, doubt.standing?.led ?? null, whole()));
     leadership.forsake();
     verified = false;
+    compared = false;
     cache.clear();
     feed.leave();
     doubt.leave();
--- a/packages/controller/src/rebuild/verify.ts
+++ b/packages/controller/src/rebuild/verify.ts
@@ -87,14 +87,17 @@
   readonly port: ViewPort;
 }
 
-/** true: the peer has compared its view with this one's; what it knows and the store does not is evidence. */
-export const verifyWith = (v: Verify, peer: Peer): Effect.Effect<boolean> =>
+/** What came of asking a peer; `ignorant`: it has no view of this incarnation. */
+export type Comparison = 'compared' | 'ignorant' | 'silent';
+
+/** A peer compares its view with this one's; what it knows and the store does not is evidence. */
+export const verifyWith = (v: Verify, peer: Peer): Effect.Effect<Comparison> =>
   Effect.gen(function* () {
     const { incarnation } = v.doubt;
-    if (incarnation === null) return false;
+    if (incarnation === null) return 'silent' as const;
     const body = yield* v.port.ask(peer, CHECK, encodeQuestion(incarnation.id, v.cache));
     const theirs = decodeAnswer(body);
-    if (theirs === null) return false;
+    if (theirs === null) return 'ignorant' as const;
     const [revision, jobs] = theirs;
     // If it has seen more than the store shows from here on, the next read is evidence.
     v.doubt.peerSaw(incarnation.id, incarnation.generation, revision);
@@ -108,8 +111,12 @@
       if (over.entry === null && !v.cache.jobs.has(id))
         v.doubt.raise('key lost', `${activeKey(id)} is known to ${peer.label}`, true);
     }
-    return true;
+    return 'compared' as const;
   }).pipe(
-    Effect.timeoutTo({ duration: TIMEOUT_MS, onSuccess: (done) => done, onTimeout: () => false }),
-    Effect.orElseSucceed(() => false),
+    Effect.timeoutTo({
+      duration: TIMEOUT_MS,
+      onSuccess: (c): Comparison => c,
+      onTimeout: (): Comparison => 'silent',
+    }),
+    Effect.orElseSucceed((): Comparison => 'silent'),
   );
--- a/packages/lab/test/loss.test.ts
+++ b/packages/lab/test/loss.test.ts
@@ -6,6 +6,7 @@
 import assert from 'node:assert/strict';
 import { readdirSync, readFileSync } from 'node:fs';
 import { test } from 'node:test';
+import { activeKey } from '@lilacvalve/controller/jobs/keys';
 import { type Experiment, readExperiment } from '../src/experiment.js';
 import { type DayResult, faultsOf, playDay } from '../src/play.js';
 import { table } from '../src/report.js';
@@ -108,3 +109,66 @@
     world.stop();
   }
 });
+
+/** A task that has ended by a record alone: its job's key, which was folded before, has it on its machine still. */
+test('who read the store after records were lost does not bring back what they ended', () => {
+  let met = 0;
+  for (const seed of [2, 4]) {
+    const world = new World(seed, {});
+    const submit = (tasks: number, cpus: number, runUs: number): string =>
+      world.submit(null, undefined, {
+        job: {
+          team: 'blue',
+          shape: 'array',
+          tasks,
+          cpus,
+          gpus: 0,
+          types: ['c8'],
+          zone: null,
+          oneZone: false,
+          spread: false,
+          spot: false,
+          broken: false,
+          runUs,
+        },
+        urgency: 'high',
+        due: null,
+      })!;
+    const placed = (node: string, id: string): number =>
+      world
+        .up()
+        .find((u) => u.name === node)
+        ?.node.cache.jobs.get(id)?.placed.size ?? -1;
+    world.time.run(5e6);
+    const long = submit(4, 6, 300e6);
+    // Until the long job's key has where its tasks run.
+    for (let i = 0; i < 60; i++) world.time.after(10e6 + i * 1e6, () => submit(1, 0.5, 2e6));
+    const key = (): string => world.state.keys.get(activeKey(long))?.value ?? '';
+    while (!key().includes('"p":') && world.time.now < 90e6) world.time.run(world.time.now + 100_000);
+    assert.match(key(), /"p":/);
+    // Nothing else is rented: what its machines held is over by records, and waits.
+    world['cloudOut'] = true;
+    for (const id of [...world.workers.keys()]) world['take'](id, false);
+    const leader = world.leader()!;
+    const [other, late] = world.nodes.filter((n) => n !== leader) as [string, string];
+    while (placed(leader, long) > 0 && world.time.now < 150e6) world.time.run(world.time.now + 100_000);
+    assert.equal(placed(leader, long), 0);
+    world.time.run(world.time.now + 1e6);
+    if (key().includes('"p":')) {
+      world.lossAt.push(world.time.now);
+      world.state.lose({ kind: 'keys', prefix: 's/r/', part: 1 });
+      // It starts anew, and nobody tells it what there was.
+      world.crash(late, 200_000);
+      for (const n of [leader, other]) world.cut(late, n, 'reset', 2e6);
+      for (let i = 0; i < 100 && placed(late, long) <= 0; i++) world.time.run(world.time.now + 20_000);
+      if (placed(late, long) === 4 && placed(other, long) === 0) met++;
+      const before = world.up().find((u) => u.name === other)!.node.doubt.incarnation!.id;
+      while (!world.rebuilt(before) && world.time.now < 250e6) world.time.run(world.time.now + 100_000);
+      world.time.run(world.time.now + 1e6);
+      for (const n of world.nodes) assert.equal(placed(n, long), 0, `seed ${seed}: ${n}`);
+      assert.deepEqual(world.accountsWrong(), []);
+    }
+    world.stop();
+  }
+  assert.ok(met > 0, 'nobody read the store in between');
+});
