Lab: cancelNow, cancelInHandover and atLimit; gap cancels from the very moment and goes dark within a second

Rules of their own: limit_room_early, limit_room_late, limit_unused and closed_while_on. Worker.hang holds what arrives until it goes on.

--- /dev/null
+++ b/packages/lab/src/world/meetings/atLimit.ts
@@ -0,0 +1,229 @@
+import { DRIFT } from '@lilacvalve/base/micros';
+import { activeKey } from '@lilacvalve/controller/jobs/keys';
+import type { TeamSettings } from '@lilacvalve/controller/settings/settings';
+import type { JobTruth, Worker } from '../worker.js';
+import { PLAIN, type Shared, type Trouble } from './stage.js';
+
+/** Every team of these days is at its limit as soon as a few jobs of it are there. */
+export const TIGHT_TEAMS: readonly TeamSettings[] = [
+  { name: 'red', guarantee: { cpus: 4, gpus: 0 }, limit: { cpus: 10, gpus: 0 } },
+  { name: 'blue', guarantee: { cpus: 0, gpus: 0 }, limit: { cpus: 10, gpus: 0 } },
+  { name: 'guest', guarantee: { cpus: 0, gpus: 0 }, limit: { cpus: 4, gpus: 0 } },
+];
+/** What a team's jobs ask for, of its limit: enough waits to take whatever room comes back. */
+const ASKED_FOR = 1.8;
+const CPUS = 2;
+const SHORTEST = 30e6;
+const LOOK_EVERY = 100_000;
+
+/**
+ * The bound (docs/meetings.md): how late the limit may still count a task that is gone. From a newer report that was
+ * answered, or the cloud's delete; from the end of the machine's lease, where the leader has heard it; from a lease after
+ * the leader began, where it has not: then older leaders' word must have run out too.
+ */
+const BY_WORD = 2e6;
+const BY_LEASE = 3.5e6;
+const BY_LEASE_ANEW = 7e6;
+/** From there to the next start of the team, where a machine that the leader hears has room. */
+const USED = 3e6;
+
+interface Victim {
+  readonly key: string;
+  readonly job: JobTruth;
+  readonly machine: Worker;
+  readonly how: 'cut off' | 'hung';
+  readonly term: number | null;
+  /** When its machine sent the last report that was not held up. */
+  readonly sent: number;
+  goneAt: number | null;
+  /** Since when the leader can know that. */
+  word: { readonly term: number; readonly at: number } | null;
+  met: boolean;
+}
+type Counted = ReadonlyMap<string, number>;
+
+/** Teams at their limits; users cancel jobs whose machines are cut off or hang, and the leader changes. */
+export const atLimit = (m: Shared): Trouble => {
+  const { w } = m;
+  const limits = new Map(TIGHT_TEAMS.map((t) => [t.name, t.limit.cpus]));
+  /** Machines that are cut off. */
+  const away = new Set<string>();
+  const sent = new Map<string, number>();
+  let strikes = 0;
+  let reign = { term: null as number | null, since: 0 };
+
+  const mine = (j: JobTruth, team: string): boolean =>
+    j.team === team && !w.rules.cancelAsked(j.id) && w.rules.state(j.id) !== 'done';
+  /** So that every team asks for more than its limit. */
+  const fill = (): void => {
+    const l = w.luck;
+    for (const [team, limit] of limits) {
+      let more = ASKED_FOR * limit;
+      for (const j of w.jobs.values()) if (mine(j, team)) more -= j.cpus * (j.tasks - j.finished.size);
+      while (more > 0) {
+        const tasks = 1 + l.int(2);
+        const job = { ...PLAIN, team, tasks, cpus: CPUS, runUs: l.between(SHORTEST, 2 * SHORTEST) };
+        w.submit({ job, urgency: 'high', due: null }, () => w.node());
+        more -= tasks * CPUS;
+      }
+    }
+  };
+  /** One more task of the team waits. */
+  const waits = (team: string, counted: Counted): boolean => {
+    for (const j of w.jobs.values()) {
+      if (!mine(j, team) || j.cpus !== CPUS || j.runUs < SHORTEST || j.shape !== 'array' || j.gpus > 0)
+        continue;
+      if (w.rules.state(j.id) !== 'accepted' || j.types !== null || j.zone !== null || j.oneZone) continue;
+      for (let i = 0; i < j.tasks; i++)
+        if (!j.finished.has(i) && !counted.has(`${j.id}/${i}`) && !w.rules.holds(`${j.id}/${i}`)) return true;
+    }
+    return false;
+  };
+  const full = (team: string, counted: Counted): boolean => {
+    let cpus = CPUS;
+    for (const key of counted.keys()) cpus += w.jobs.get(key.slice(0, key.indexOf('/')))!.cpus;
+    return cpus > limits.get(team)!;
+  };
+  /** A machine that the leader hears has room for one more. */
+  const room = (): boolean => {
+    for (const x of w.workers.values()) {
+      if (!x.alive || x.hanging || x.place.spot || away.has(x.place.id) || !w.heardFrom(x.place.id)) continue;
+      if (x.token !== reign.term) continue;
+      let free = 8 - CPUS;
+      for (const key of w.placedOn(x.place.id)) free -= w.jobs.get(key.slice(0, key.indexOf('/')))!.cpus;
+      if (free >= 0 && x.place.type === 'c8') return true;
+    }
+    return false;
+  };
+
+  /** Room of a team's limit has come back: until another task of it is placed. */
+  const reuse = (team: string, from: Counted, since: number): void => {
+    const { term } = reign;
+    const look = (): void => {
+      const counted = w.counted(team);
+      if (counted === null || w.term() !== term) return;
+      if ([...counted].some(([key, attempt]) => from.get(key) !== attempt)) {
+        m.meet('the room was used again');
+        m.took('the room was used again', w.time.now - since);
+      } else if (!waits(team, counted) || full(team, counted) || !room()) return;
+      else if (w.time.now > since + USED)
+        w.rules.broken.push(`limit_unused: ${team} since ${since}, at ${w.time.now}`);
+      else m.at(LOOK_EVERY, look);
+    };
+    look();
+  };
+
+  /** From when on it is sure, how, and how soon it must be known then. */
+  const due = (v: Victim): { readonly from: number; readonly how: string; readonly within: number } => {
+    if (v.word !== null) return { from: v.word.at, how: 'by word', within: BY_WORD };
+    const lease = w.lease * (1 + 2 * DRIFT);
+    const { machine } = v;
+    const last = Math.max(v.sent, machine.answeredFrom);
+    if (machine.token === reign.term && w.heardFrom(machine.place.id))
+      return { from: last + lease, how: 'by its lease', within: BY_LEASE };
+    const from = Math.max(last, reign.since) + lease;
+    return { from, how: 'by its lease, never heard', within: BY_LEASE_ANEW };
+  };
+
+  const look = (v: Victim): 'over' | 'on' => {
+    const { now } = w.time;
+    const { key, machine, job } = v;
+    const counted = w.counted(job.team);
+    const on = w.rules.holds(key);
+    // Whoever leads next could not count it.
+    if (on && w.rules.state(job.id) === 'aborted' && !w.state.keys.has(activeKey(job.id)))
+      w.rules.broken.push(`closed_while_on: ${key} at ${now}`);
+    if (counted === null) return 'on';
+    const has = counted.has(key);
+    if (on) {
+      if (!has) w.rules.broken.push(`limit_room_early: ${key} at ${now}`);
+      const anew = v.term !== null && (reign.term ?? 0) > v.term && !w.heardFrom(machine.place.id);
+      if (!v.met && anew && w.rules.state(job.id) === 'aborted' && full(job.team, counted)) {
+        v.met = waits(job.team, counted);
+        if (v.met)
+          m.meet(`at the limit, cancelled on a machine that is ${v.how} and that a new leader never heard`);
+      }
+      return has ? 'on' : 'over';
+    }
+    v.goneAt ??= now;
+    if (v.word !== null && v.word.term !== reign.term) v.word = null;
+    const told = machine.token === reign.term && machine.answeredFrom >= Math.max(v.goneAt, reign.since);
+    if (v.word === null && reign.term !== null && (told || w.isDeleted(machine.place.id)))
+      v.word = { term: reign.term, at: Math.max(now, reign.since) };
+    const { from, how, within } = due(v);
+    if (has) {
+      if (now <= from + within) return 'on';
+      w.rules.broken.push(`limit_room_late: ${key} ${how}, ${Math.round(now - from)} us, at ${now}`);
+      return 'over';
+    }
+    // Before its lease is over only a report can have said so, whose answer is on its way still.
+    const known = now < from ? 'by word' : how;
+    m.meet(`the room came back ${known}`);
+    m.took(`the room came back ${known}`, now - from);
+    if (!full(job.team, counted) && waits(job.team, counted) && room()) reuse(job.team, counted, now);
+    return 'over';
+  };
+
+  const watch = (victims: Set<Victim>): void => {
+    const term = w.term();
+    if (term !== reign.term) reign = { term, since: w.time.now };
+    for (const v of victims) if (look(v) === 'over') victims.delete(v);
+    if (victims.size > 0) m.at(LOOK_EVERY, () => watch(victims));
+  };
+
+  const strike = (): void => {
+    const l = w.luck;
+    const old = w.leader();
+    if (old === undefined) return;
+    fill();
+    const how = strikes++ % 2 === 0 ? 'cut off' : 'hung';
+    const zone = w.zones[l.int(w.zones.length)]!;
+    const machines = [...w.workers.values()].filter(
+      (x) => x.alive && !x.hanging && x.running() && (how === 'hung' ? l.chance(0.6) : x.place.zone === zone),
+    );
+    if (machines.length === 0) return;
+    w.strike('atLimit');
+    const lasts = w.lease * (l.chance(0.3) ? l.between(0.3, 0.95) : l.between(1.05, 2.2));
+    w.troubled(lasts);
+    if (how === 'cut off') {
+      const state = l.chance(0.5) ? 'held' : 'reset';
+      for (const n of w.nodes) w.cut(`zone:${zone}`, n, state, lasts);
+      for (const x of machines) away.add(x.place.id);
+      m.at(lasts, () => {
+        for (const x of machines) away.delete(x.place.id);
+      });
+    } else for (const x of machines) x.hang(lasts, () => undefined);
+    const term = w.term();
+    const victims = new Set<Victim>();
+    const jobs = new Set<JobTruth>();
+    for (const machine of machines)
+      for (const t of machine.tasks.values()) {
+        const job = w.jobs.get(t.key.slice(0, t.key.indexOf('/')))!;
+        if (t.status !== 'running' || job.shape !== 'array' || w.rules.cancelAsked(job.id)) continue;
+        if (w.rules.state(job.id) !== 'accepted' || (!jobs.has(job) && !l.chance(0.7))) continue;
+        jobs.add(job);
+        victims.add({
+          key: t.key,
+          job,
+          machine,
+          how,
+          term,
+          sent: sent.get(machine.place.id) ?? 0,
+          goneAt: null,
+          word: null,
+          met: false,
+        });
+      }
+    for (const { id } of jobs) m.at(l.between(0, 3e6), () => m.cancel(id));
+    if (l.chance(0.85)) m.at(l.between(0, 4e6), () => m.change(w.leader() ?? old));
+    watch(victims);
+  };
+  return {
+    reported: (by) => void sent.set(by.place.id, w.time.now),
+    begin: () => {
+      fill();
+      w.troubled(25e6);
+      m.at(w.luck.between(16e6, 24e6), strike);
+    },
+  };
+};
--- a/packages/lab/src/world/meetings/gap.ts
+++ b/packages/lab/src/world/meetings/gap.ts
@@ -21,13 +21,16 @@
         w.strike('gap');
         const process = w.process(old);
         const began = w.time.now;
-        const dark = l.between(1.2e6, 2.4e6);
+        const dark = l.between(0.9e6, 2.4e6);
         m.refuse(old, l.between(10e6, 18e6));
         const confirmed: string[] = [];
         for (const id of ids.filter((x) => w.rules.isOn(x) && l.chance(0.8)))
-          m.at(l.between(100_000, 1.7e6), () =>
+          m.at(l.between(0, 1.7e6), () =>
             w.cancel(id, m.others(old), (by) => {
-              if (by !== old && w.time.now < began + dark) confirmed.push(id);
+              if (by === old || w.time.now >= began + dark) return;
+              confirmed.push(id);
+              if (w.rules.isOn(id) && w.process(old) === process && w.answering(old))
+                m.meet('cancelled beside a leader refused alone');
             }),
           );
         m.at(dark, () => {
--- a/packages/lab/src/world/meetings/index.ts
+++ b/packages/lab/src/world/meetings/index.ts
@@ -3,6 +3,9 @@
  * with the others of the day, or laid over them by `together`.
  */
 import type { Worker } from '../worker.js';
+import { atLimit } from './atLimit.js';
+import { cancelInHandover } from './cancelInHandover.js';
+import { cancelNow } from './cancelNow.js';
 import { farEnds } from './farEnds.js';
 import { gap } from './gap.js';
 import { handover } from './handover.js';
@@ -26,6 +29,9 @@
   farEnds,
   heldMachine,
   handover,
+  cancelNow,
+  cancelInHandover,
+  atLimit,
 };
 export type Meeting = keyof typeof TROUBLES;
 export const MEETINGS = Object.keys(TROUBLES) as Meeting[];
@@ -52,6 +58,11 @@
     return this.shared.met;
   }
 
+  /** The longest that what was measured took, microseconds. */
+  get longest(): Readonly<Record<string, number>> {
+    return this.shared.longest;
+  }
+
   /** Called at each answer that says that the job is over. */
   overBefore(id: string): boolean {
     const before = this.over.has(id);
@@ -86,6 +97,9 @@
   completed(task: string): void {
     for (const t of this.all) t.completed?.(task);
   }
+  started(task: string): void {
+    for (const t of this.all) t.started?.(task);
+  }
   reaped(task: string, done: boolean): void {
     for (const t of this.all) t.reaped?.(task, done);
   }
--- a/packages/lab/src/world/meetings/stage.ts
+++ b/packages/lab/src/world/meetings/stage.ts
@@ -16,6 +16,7 @@
   readonly jobs: Map<string, JobTruth>;
   readonly workers: Map<string, Worker>;
   readonly nodes: readonly string[];
+  readonly zones: readonly string[];
   readonly lease: number;
   readonly cancelWithin: number;
   strike(what: Meeting): true;
@@ -29,8 +30,16 @@
   answering(node: string): boolean;
   /** The acting leader has had a report of the machine. */
   heardFrom(machine: string): boolean;
+  /** What the acting leader counts against the team's limit: the attempt of each task; null: nobody acts. */
+  counted(team: string): ReadonlyMap<string, number> | null;
+  /** What it has placed on the machine. */
+  placedOn(machine: string): readonly string[];
+  /** The cloud has answered the machine's delete. */
+  isDeleted(machine: string): boolean;
   node(): string;
   crash(node: string, back: number): void;
+  /** It stands still while its clocks run on. */
+  freeze(node: string, lasts: number): void;
   giveWay(node: string, forMicros: number): void;
   cut(a: string, b: string, state: 'held' | 'reset', lasts: number): void;
   submit(job: Arrival, via: () => string): string | undefined;
@@ -49,6 +58,8 @@
   heard?(node: string): void;
   /** A task has completed. */
   completed?(task: string): void;
+  /** A task has its image and is on its machine. */
+  started?(task: string): void;
   /** A machine was told to forget a task. */
   reaped?(task: string, done: boolean): void;
 }
@@ -56,6 +67,7 @@
 export class Shared {
   /** What really met: a day that was meant to bring a meeting about and did not shows nothing. */
   readonly met: Record<string, number> = {};
+  readonly longest: Record<string, number> = {};
 
   constructor(readonly w: Stage) {}
 
@@ -63,6 +75,11 @@
     this.met[what] = (this.met[what] ?? 0) + 1;
   }
 
+  /** The longest time that something took. */
+  took(what: string, micros: number): void {
+    this.longest[what] = Math.max(this.longest[what] ?? 0, micros);
+  }
+
   at(delay: number, go: () => void): void {
     this.w.time.after(delay, go);
   }
@@ -73,6 +90,15 @@
     return w.luck.chance(0.75) ? (w.leader() ?? w.node()) : w.node();
   }
 
+  /** A user cancels, through any controller. */
+  cancel(id: string): void {
+    this.w.cancel(
+      id,
+      () => this.w.node(),
+      () => undefined,
+    );
+  }
+
   others(than: string): () => string {
     const rest = this.w.nodes.filter((n) => n !== than);
     return () => rest[this.w.luck.int(rest.length)]!;
--- a/packages/lab/src/world/rules.ts
+++ b/packages/lab/src/world/rules.ts
@@ -72,6 +72,8 @@
 
   /** A task has completed. */
   onComplete: (task: string) => void = () => undefined;
+  /** A task is on a machine from here. */
+  onStart: (task: string) => void = () => undefined;
 
   constructor(
     private readonly cancelWithin: number,
@@ -126,6 +128,7 @@
     }
     there.set(m.id, m);
     this.on.set(task, there);
+    this.onStart(task);
     this.check(now);
     if (s) {
       const limit = this.limits[s.team];
@@ -146,6 +149,11 @@
     return false;
   }
 
+  /** The task is on a machine. */
+  holds(task: string): boolean {
+    return this.on.has(task);
+  }
+
   leave(task: string, machine: string): void {
     const there = this.on.get(task);
     there?.delete(machine);
--- a/packages/lab/src/world/worker.ts
+++ b/packages/lab/src/world/worker.ts
@@ -73,6 +73,10 @@
   token = 0;
   readonly tasks = new Map<string, Task>();
   private leaseFrom: number;
+  /** When the latest report was sent that it got a valid answer to. */
+  answeredFrom = 0;
+  /** What has reached it since it hangs; null: it does not, or is not told so by `hang`. */
+  private arrived: (() => void)[] | null = null;
   private readonly drift: number;
   alive = true;
   hanging = false;
@@ -246,6 +250,7 @@
           const higher = v.warrant > this.token;
           this.token = v.warrant;
           this.leaseFrom = Math.max(this.leaseFrom, sent);
+          this.answeredFrom = sent;
           const before = this.signature();
           this.execute(v.orders ?? []);
           if (higher || before !== this.signature()) wait = 500_000;
@@ -275,8 +280,24 @@
     );
   }
 
+  /** Hangs for so long: reads and executes nothing, and goes on with what has arrived meanwhile. */
+  hang(lasts: number, goesOn: (lapsed: boolean) => void): void {
+    const { tenure } = this;
+    const arrived: (() => void)[] = [];
+    this.hanging = true;
+    this.arrived = arrived;
+    this.time.after(lasts, () => {
+      this.hanging = false;
+      this.arrived = null;
+      if (!this.alive) return;
+      goesOn(tenure !== this.tenure);
+      for (const act of arrived) act();
+    });
+  }
+
   /** Acts on what has arrived, at once or when the machine goes on. */
   private hold(act: () => void): void {
+    if (this.arrived !== null) return void this.arrived.push(act);
     const still = this.alive && !this.hanging ? this.net.holds(this) : 0;
     if (still === 0) return act();
     const { tenure } = this;
--- a/packages/lab/src/world/world.ts
+++ b/packages/lab/src/world/world.ts
@@ -5,7 +5,7 @@
 import { Duration, Effect, Exit, Fiber } from 'effect';
 import { NoAnswer } from '@lilacvalve/base/http-client';
 import type { Answer, Incoming, Quick } from '@lilacvalve/base/http-server';
-import { type Micros, micros } from '@lilacvalve/base/micros';
+import { type Micros, micros, seconds } from '@lilacvalve/base/micros';
 import { CloudRefused, type CloudPort } from '@lilacvalve/controller/fleet/cloud';
 import type { ListedMachine, MachineType } from '@lilacvalve/controller/fleet/model';
 import { INCARNATION, REBUILD, RECORD } from '@lilacvalve/controller/jobs/keys';
@@ -19,6 +19,7 @@
 import { calendarOf, Cutoffs } from './cutoffs.js';
 import { coming, LENDING_TEAMS, Loans, Serving, type Step } from './lending.js';
 import { Links, type LinkState } from './links.js';
+import { TIGHT_TEAMS } from './meetings/atLimit.js';
 import { type Meeting, Meetings, MEETINGS } from './meetings/index.js';
 import { type Fact, Memory, type Process } from './memory.js';
 import { BY_MEMORY, type Got, Rules } from './rules.js';
@@ -152,6 +153,8 @@
   readonly cpus: number;
   /** Arrivals of another kind than of each shape alike; see crowd.ts. */
   readonly crowd?: boolean;
+  /** Other times of leases and cancellations than usual. */
+  readonly workers?: Partial<Settings['workers']>;
 }
 export const SMALL: Size = { nodes: ['n0', 'n1', 'n2'], gangs: [1, 2, 3], arrays: 6, cpus: 24 };
 /** Five controllers, gangs of up to 24 in one zone and large arrays. */
@@ -162,6 +165,9 @@
   cpus: 24,
 };
 
+/** Cancellations must be gone barely after a lease. */
+export const CLOSE: Size = { ...SMALL, workers: { lease: seconds(20), cancel: seconds(23) } };
+
 /** Calls that change something in the state service. */
 const CHANGES = new Set(['transact', 'grant', 'extend', 'release']);
 /** How long a user waits for an answer to a poll. */
@@ -240,13 +246,14 @@
   ) {
     this.nodes = size.nodes;
     // On every other day few records are kept, so that they are folded and accounts are written again and again.
-    const { state } = worldSettings('n0');
+    const { state, workers } = worldSettings('n0');
     this.settings = (label) =>
       worldSettings(label, {
         state: seed % 2 === 0 ? { ...state, tail: 12 } : state,
         nodes: size.nodes.length,
         peers: size.nodes.filter((n) => n !== label).map((n) => ({ label: n, zone: 'a', address: '' })),
-        ...(troubles.lending ? { teams: LENDING_TEAMS } : {}),
+        ...(troubles.lending ? { teams: LENDING_TEAMS } : troubles.atLimit ? { teams: TIGHT_TEAMS } : {}),
+        ...(size.workers ? { workers: { ...workers, ...size.workers } } : {}),
       });
     this.time = new Time(seed, print);
     this.luck = new Luck(seed);
@@ -282,6 +289,7 @@
     this.meetings =
       troubles.meetings || MEETINGS.some((m) => troubles[m]) ? new Meetings(this.stage()) : null;
     this.rules.onComplete = (task) => this.meetings?.completed(task);
+    this.rules.onStart = (task) => this.meetings?.started(task);
     this.time.onStep = () => this.rules.check(this.time.now);
     for (const n of this.nodes) this.boot(n);
     if ((troubles.losses?.length ?? 0) > 0) this.watch();
@@ -298,6 +306,7 @@
       jobs: this.jobs,
       workers: this.workers,
       nodes: this.nodes,
+      zones: ZONES,
       lease: workers.lease,
       cancelWithin: workers.cancel,
       strike: (what) => this.strike(what),
@@ -314,8 +323,20 @@
           .get(this.leader() ?? '')
           ?.node.book()
           ?.machines.get(machine)?.reported === true,
+      counted: (team) => this.counted(team),
+      placedOn: (machine) => [
+        ...(this.live
+          .get(this.leader() ?? '')
+          ?.node.cache.byMachine.get(machine)
+          ?.keys() ?? []),
+      ],
+      isDeleted: (machine) => this.hired.get(machine)?.deleted === true,
       node: () => this.node(),
       crash: (node, back) => this.crash(node, back),
+      freeze: (node, lasts) => {
+        this.troubled(lasts);
+        this.host(node)?.freeze(this.time, lasts);
+      },
       giveWay: (node, forMicros) => {
         const l = this.live.get(node);
         if (l) this.time.fork(l.node.leadership.giveWay('handover', forMicros), l.host);
@@ -326,6 +347,18 @@
     };
   }
 
+  private counted(team: string): Map<string, number> | null {
+    const node = this.live.get(this.leader() ?? '')?.node;
+    const book = node?.book() ?? null;
+    if (node === undefined || book === null) return null;
+    const out = new Map<string, number>();
+    for (const { spec, placed } of node.cache.jobs.values())
+      if (spec.team === team)
+        for (const p of placed.values())
+          if (!book.isEnding(spec.id, p.task)) out.set(`${spec.id}/${p.task}`, p.attempt);
+    return out;
+  }
+
   /** Any controller: users reach them through a load balancer. */
   private node(): string {
     return this.nodes[this.luck.int(this.nodes.length)]!;
--- a/packages/lab/test/meeting-days.ts
+++ b/packages/lab/test/meeting-days.ts
@@ -5,17 +5,17 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { faultsOf, playDay } from '../src/play.js';
-import { SMALL, type Troubles } from '../src/world/world.js';
+import { type Size, SMALL, type Troubles } from '../src/world/world.js';
 
-export type Row = readonly [meeting: string, troubles: Troubles, met: readonly string[]];
+export type Row = readonly [meeting: string, troubles: Troubles, met: readonly string[], size?: Size];
 
 /** Days are played until all of the meeting has happened, one or two mostly; never more than these. */
 const SEEDS = [1, 2, 3, 4, 5, 6];
 
 export const playMeetings = (rows: readonly Row[]): void => {
-  for (const [meeting, troubles, met] of rows)
+  for (const [meeting, troubles, met, sized = SMALL] of rows)
     test(`rules hold: ${meeting}`, () => {
-      const size = { size: SMALL, jobs: 12, room: false, troubledUs: 130e6, quietUs: 300e6 };
+      const size = { size: sized, jobs: 12, room: false, troubledUs: 130e6, quietUs: 300e6 };
       const missing = new Set(met);
       for (const seed of SEEDS) {
         const day = playDay({ name: meeting, ...size, troubles }, seed);
--- /dev/null
+++ b/packages/lab/test/meetings-cancel.test.ts
@@ -0,0 +1,31 @@
+/** Cancellations that meet a change of hands, and machines that hang and go on. */
+import { CLOSE } from '../src/world/world.js';
+import { playMeetings } from './meeting-days.js';
+
+const hung = [
+  'hung with a cancelled task, went on within its lease',
+  'hung with a cancelled task, went on beyond its lease',
+];
+
+playMeetings([
+  ['machines hang with what was cancelled and go on', { cancelNow: true }, hung],
+  [
+    'the same and a leader refused, where a cancellation must have taken effect barely after a lease',
+    { cancelNow: true, gap: true },
+    [...hung, 'cancelled beside a leader refused alone'],
+    CLOSE,
+  ],
+  [
+    'cancelled while the lead changes hands',
+    { cancelInHandover: true },
+    [
+      'cancelled while it ran, handed over in order',
+      'cancelled while it ran, handed over by crash',
+      'cancelled while it ran, handed over by a lapsed lease',
+      'cancelled while it ran, handed over with answers on their way',
+      'cancelled while it ran, confirmed by the old',
+      'cancelled while it ran, confirmed by the new',
+      'cancelled while it ran, confirmed by the third',
+    ],
+  ],
+]);
