--- a/packages/lab/src/world/meetings/index.ts
+++ b/packages/lab/src/world/meetings/index.ts
@@ -6,6 +6,9 @@
 import type { Answered, Asked } from '../history.js';
 import { cancelAtEnd } from './cancelAtEnd.js';
 import { closeLooks } from './closeLooks.js';
+import { atLimit } from './atLimit.js';
+import { cancelInHandover } from './cancelInHandover.js';
+import { cancelNow } from './cancelNow.js';
 import { farEnds } from './farEnds.js';
 import { gap } from './gap.js';
 import { handover } from './handover.js';
@@ -31,6 +34,9 @@
   handover,
   closeLooks,
   cancelAtEnd,
+  cancelNow,
+  cancelInHandover,
+  atLimit,
 };
 export type Meeting = keyof typeof TROUBLES;
 export const MEETINGS = Object.keys(TROUBLES) as Meeting[];
@@ -57,6 +63,11 @@
     return this.shared.met;
   }
 
+  /** The longest that what was measured took, microseconds. */
+  get longest(): Readonly<Record<string, number>> {
+    return this.shared.longest;
+  }
+
   /** Called at each answer that says that the job is over. */
   overBefore(id: string): boolean {
     const before = this.over.has(id);
@@ -97,6 +108,9 @@
   committed(key: string, value: string | undefined): void {
     for (const t of this.all) t.committed?.(key, value);
   }
+  started(task: string): void {
+    for (const t of this.all) t.started?.(task);
+  }
   reaped(task: string, done: boolean): void {
     for (const t of this.all) t.reaped?.(task, done);
   }
