--- a/packages/lab/src/world/worker.ts
+++ b/packages/lab/src/world/worker.ts
@@ -7,6 +7,10 @@
 import type { Step } from './lending.js';
 import type { Luck } from '@lilacvalve/controller/support/luck';
 import type { Time } from './time.js';
+import { type Amounts, amounts } from './waiting.js';
+
+/** What every task takes of its machine's memory. */
+export const TASK_MEM_GB = 2;
 
 export interface JobTruth extends Spec {
   readonly jobClass: string;
@@ -155,6 +159,24 @@
     return t.status !== 'fetching' && t.status !== 'ended';
   }
 
+  /** What is free here, fetching tasks counted; null: nothing can run here, or the machine is about to be taken. */
+  spare(): Amounts | null {
+    if (!this.alive || this.hanging || this.deaf || this.faulty || this.recallAt !== null) return null;
+    let { cpus, gpus, memGb } = this.room;
+    for (const t of this.held()) {
+      const job = this.world.jobs.get(t.slice(0, t.indexOf('/')))!;
+      cpus -= job.cpus;
+      gpus -= job.gpus;
+      memGb -= TASK_MEM_GB;
+    }
+    return amounts(cpus, gpus, memGb);
+  }
+
+  /** Tasks that are here, fetching ones too. */
+  held(): string[] {
+    return [...this.tasks.values()].filter((t) => t.status !== 'ended').map((t) => t.key);
+  }
+
   die(): void {
     this.alive = false;
     this.cancelReport();
--- a/packages/lab/src/world/world.ts
+++ b/packages/lab/src/world/world.ts
@@ -25,7 +25,8 @@
 import { type Loss, StateService } from './state.js';
 import { Luck } from '@lilacvalve/controller/support/luck';
 import { Host, Time } from './time.js';
-import { type JobTruth, type Net, Worker } from './worker.js';
+import { type Amounts, amounts, type RoomOn, Waiting, type Wanted } from './waiting.js';
+import { type JobTruth, type Net, TASK_MEM_GB, Worker } from './worker.js';
 
 /** As the server does: outside any fiber if that takes it, else by the handler. */
 const handled = (
@@ -215,6 +216,7 @@
   readonly meetings: Meetings | null;
   readonly loans: Loans | null;
   readonly serving = new Serving();
+  readonly waiting = new Waiting((what) => this.rules.broken.push(what));
   private troubledUntil = 0;
   readonly lossAt: number[] = [];
   /** When a poll was last answered otherwise than with 503. */
@@ -739,7 +741,7 @@
       pieces: job.tasks,
       vcpus: job.cpus,
       accelerators: job.gpus,
-      memGb: 2,
+      memGb: TASK_MEM_GB,
       bundle: job.image,
       imageGb: job.imageGb,
       hostsKinds: job.types,
@@ -1037,6 +1039,7 @@
       this.time.run(at);
       this.settleLoss();
       this.second();
+      this.lookForWaiting();
       if (at % 5e6 === 0) this.rules.broken.push(...this.accountsApart());
       this.judge();
       // Long enough for a job that nobody answers for to show.
@@ -1065,6 +1068,45 @@
     if (what === 'stopped' && l.chance(0.05)) this.time.after(1e6, () => this.take(machine, false));
   }
 
+  /** Once the troubles are over: who waits although there is room. */
+  private lookForWaiting(): void {
+    const { now } = this.time;
+    if (now < this.rules.calmAt) return this.waiting.troubled();
+    const on = new Map<string, Map<string, { readonly zone: string }>>();
+    const used = new Map<string, Amounts>();
+    const rooms: RoomOn[] = [];
+    for (const { place, ...w } of this.upWorkers()) {
+      for (const key of w.held) {
+        const id = key.slice(0, key.indexOf('/'));
+        const tasks = on.get(id) ?? new Map<string, { readonly zone: string }>();
+        on.set(id, tasks.set(key, place));
+        const { team, cpus, gpus } = this.jobs.get(id)!;
+        const [c, g, m] = used.get(team) ?? [0, 0, 0];
+        const need = amounts(cpus, gpus, TASK_MEM_GB);
+        used.set(team, [c + need[0], g + need[1], m + need[2]]);
+      }
+      if (w.spare !== null) rooms.push({ machine: place.id, ...place, free: w.spare });
+    }
+    const wanted = [...this.jobs.values()]
+      .filter((j) => this.rules.state(j.id) === 'accepted' && !this.rules.cancelAsked(j.id) && !j.broken)
+      .filter((j) => this.remembered(j.id))
+      .map((j): Wanted => {
+        const tasks = on.get(j.id) ?? new Map<string, { readonly zone: string }>();
+        let waiting = 0;
+        for (let i = 0; i < j.tasks; i++) if (!j.finished.has(i) && !tasks.has(`${j.id}/${i}`)) waiting++;
+        const need = amounts(j.cpus, j.gpus, TASK_MEM_GB);
+        return { spec: j, shape: j.shape, waiting, on: tasks, need };
+      });
+    const limits = new Map(Object.entries(this.limits).map(([team, l]) => [team, [l.cpus, l.gpus] as const]));
+    this.waiting.look(now, wanted, rooms, used, limits);
+  }
+
+  private upWorkers() {
+    return [...this.workers.values()]
+      .filter((w) => w.alive)
+      .map((w) => ({ place: w.place, held: w.held(), spare: w.spare() }));
+  }
+
   private second(): void {
     if (!this.loans) return;
     this.loans.check(
--- a/packages/lab/test/checks.test.ts
+++ b/packages/lab/test/checks.test.ts
@@ -14,6 +14,7 @@
 import { Rules, type Spec } from '../src/world/rules.js';
 import { StateService } from '../src/world/state.js';
 import { Time } from '../src/world/time.js';
+import { type Amounts, amounts, fitsNow, type RoomOn, Waiting, type Wanted } from '../src/world/waiting.js';
 import type { JobTruth } from '../src/world/worker.js';
 
 const spec: Spec = {
@@ -316,3 +317,94 @@
   assert.equal(day(['c'], ['b']), true, 'whoever said it knows it');
   assert.equal(day(['c'], ['a', 'b'], 30.05e6), true, 'the store has it still');
 });
+
+const roomOn = (machine: string, free: Amounts, over: Partial<RoomOn> = {}): RoomOn => ({
+  ...m(machine),
+  machine,
+  free,
+  ...over,
+});
+const wants = (over: Partial<Spec> = {}, shape = 'array', on: Record<string, string> = {}): Wanted => {
+  const s = { ...spec, types: null, oneZone: false, ...over };
+  const waiting = s.tasks - Object.keys(on).length;
+  const places = new Map(Object.entries(on).map(([task, zone]) => [task, { zone }]));
+  return { spec: s, shape, waiting, on: places, need: amounts(s.cpus, s.gpus, 2) };
+};
+
+test('what fits is found by type, zone, spot, spread, place and for a gang whole', () => {
+  const free = amounts(8, 0, 32);
+  const a = roomOn('m1', free);
+  const b = roomOn('m2', free, { zone: 'b' });
+  const table: [string, boolean, Wanted, RoomOn[]][] = [
+    ['a task', true, wants(), [a]],
+    ['too large', false, wants({ cpus: 9 }), [a]],
+    ['no GPU', false, wants({ gpus: 1 }), [a]],
+    ['no memory', false, wants(), [roomOn('m1', amounts(8, 0, 1))]],
+    ['another type', false, wants({ types: ['g4'] }), [a]],
+    ['another zone', false, wants({ zone: 'b' }), [a]],
+    ['a spot machine', false, wants(), [roomOn('m1', free, { spot: true })]],
+    ['a spot machine that it may use', true, wants({ spot: true }), [roomOn('m1', free, { spot: true })]],
+    ['two of a gang of three', false, wants({}, 'ensemble'), [a]],
+    ['a gang of three over two zones', true, wants({}, 'ensemble'), [a, b]],
+    ['a gang of three in one of two zones', false, wants({ oneZone: true }, 'ensemble'), [a, b]],
+    ['a gang of three in one', true, wants({ oneZone: true }, 'ensemble'), [a, roomOn('m3', free), b]],
+    ['a gang of four that must spread', false, wants({ tasks: 4, cpus: 2, spread: true }, 'ensemble'), [a]],
+    ['the same with two zones', true, wants({ tasks: 4, cpus: 2, spread: true }, 'ensemble'), [a, b]],
+    ['the second half of an array that must spread', false, wants({ tasks: 2, spread: true }, 'array', { 'job-1/0': 'a' }), [a]], // prettier-ignore
+    ['the same elsewhere', true, wants({ tasks: 2, spread: true }, 'array', { 'job-1/0': 'a' }), [b]],
+    ['beside the rest of its job', false, wants({ oneZone: true }, 'array', { 'job-1/0': 'a' }), [b]],
+    ['the same there', true, wants({ oneZone: true }, 'array', { 'job-1/0': 'a' }), [a]],
+  ];
+  for (const [what, fits, job, rooms] of table) assert.equal(fitsNow(job, rooms), fits, what);
+});
+
+test('a job that waits for 90 s while there is room for it is seen, and no other', () => {
+  const play = (
+    seconds: number,
+    at: (s: number) => { job?: Wanted; free?: Amounts; used?: Amounts; troubled?: boolean },
+  ): string[] => {
+    const broken: string[] = [];
+    const waiting = new Waiting((what) => broken.push(what));
+    for (let s = 0; s < seconds; s++) {
+      const { job = wants(), free = amounts(8, 0, 32), used = amounts(0, 0, 0), troubled = false } = at(s);
+      if (troubled) waiting.troubled();
+      else
+        waiting.look(
+          s * 1e6,
+          [job],
+          [roomOn('m1', free)],
+          new Map([['red', used]]),
+          new Map([['red', [11, 0] as const]]),
+        );
+    }
+    return broken;
+  };
+  const full = amounts(3, 0, 32);
+  assert.deepEqual(
+    play(101, () => ({})),
+    [],
+    'ten seconds of standing free, and 90',
+  );
+  assert.match(play(103, () => ({}))[0]!, /^waited: 3 tasks of job-1 for 91 s with room, at 101000000$/);
+  assert.equal(play(400, () => ({})).length, 1, 'said once');
+  assert.match(
+    play(103, () => ({ job: wants({ cpus: 2 }, 'ensemble') }))[0]!,
+    /^waited: all 3 tasks of job-1/,
+  );
+  const never: [string, (s: number) => ReturnType<Parameters<typeof play>[1]>][] = [
+    ['no room', () => ({ free: full })],
+    ['room now and then, for less than ten seconds', (s) => (s % 10 === 0 ? { free: full } : {})],
+    ['no room once in a while', (s) => (s % 80 === 0 ? { free: full } : {})],
+    ['the team at its limit', () => ({ used: amounts(8, 0, 4) })],
+    ['a gang that would bring its team over the limit', () => ({ job: wants({}, 'ensemble') })],
+    ['troubles now and then', (s) => ({ troubled: s % 80 === 0 })],
+    ['nothing waits', () => ({ job: wants({ tasks: 1 }, 'array', { 'job-1/0': 'a' }) })],
+    ['a gang of which one is there', () => ({ job: wants({ cpus: 1 }, 'ensemble', { 'job-1/0': 'a' }) })],
+    ['one more starts now and then', (s) => ({ job: wants({ tasks: 99 }, 'array', { [`job-1/${s >> 6}`]: 'a' }) })], // prettier-ignore
+  ];
+  for (const [what, at] of never) assert.deepEqual(play(400, at), [], what);
+  // Ends alone are no progress: what is left waits on.
+  const ending = (s: number): Wanted =>
+    wants({ tasks: 9 }, 'array', s < 50 ? { 'job-1/0': 'a', 'job-1/1': 'a' } : { 'job-1/0': 'a' });
+  assert.equal(play(110, (s) => ({ job: ending(s) })).length, 1);
+});
