Rentals without an answer are asked for again by their name; machines that come up and never report are returned

A rental that was carried out and whose answer was lost was asked for under a new name a moment later: twice the machines came. Now the same request goes again while the same is wanted, and a new leader counts what the last one had asked for as on its way until the list would show it. A late answer brings no deleted machine back into the book. A machine that the list calls running and that never reports was charged for up to five boot times: it goes 40 s after the longer of lease_s and cancel_s. One that was closed for a return that was not sent, since it had work by then, opens again.

--- a/packages/controller/src/fleet/duty.ts
+++ b/packages/controller/src/fleet/duty.ts
@@ -2,7 +2,7 @@
 import { Effect } from 'effect';
 import { duty } from '@lilacvalve/base/duty';
 import { info } from '@lilacvalve/base/log';
-import { type Micros, seconds } from '@lilacvalve/base/micros';
+import { type Micros, plus, seconds } from '@lilacvalve/base/micros';
 import { dayOf } from '../calendar/duty.js';
 import { pressing } from '../calendar/slack.js';
 import type { CycleView, Turn } from '../scheduler/turn.js';
@@ -10,7 +10,9 @@
 import type { Machine } from '../workers/book.js';
 import { type Awaited, Boots, countsFor, isOverdue, roomOnTheWay } from './boots.js';
 import type { CloudPort } from './cloud.js';
-import { type Bin, type Demand, type Idle, type Offer, rentals, returns, typesWanted } from './plan.js';
+import { Hires } from './hires.js';
+import { offerKey } from './model.js';
+import { type Bin, type Demand, type Idle, rentals, returns, typesWanted } from './plan.js';
 
 /** A refusal for want of capacity is believed for this long. */
 const REFUSED_FOR = seconds(12);
@@ -34,9 +36,15 @@
 export const isDeaf = (m: Machine, { lease, cancel }: Settings['workers'], at: Micros): boolean =>
   m.reported && !m.confirmed && at - m.unconfirmedSince > Math.max(lease, cancel) + SILENT;
 
+/**
+ * The cloud has called it running for as long, and no report of it has come: it is charged and can't be used. What it might
+ * hold from an earlier leader an answered delete settles.
+ */
+export const isMute = (m: Machine, { lease, cancel }: Settings['workers'], at: Micros): boolean =>
+  !m.reported && m.runningSince !== null && at - m.runningSince > Math.max(lease, cancel) + SILENT;
+
 export const fleetDuty = (t: Turn, view: CycleView, cloud: CloudPort) => {
   const refusedUntil = new Map<string, Micros>();
-  const keyOf = (o: Offer): string => `${o.type}|${o.zone}|${o.spot}`;
   /** Boot times are learnt by type and zone, whatever the price. */
   const bootKey = (o: { readonly type: string; readonly zone: string }): string => `${o.type}|${o.zone}`;
   const boots = new Boots();
@@ -49,7 +57,9 @@
   const rented = new Map<string, Micros>();
   const removed = new Map<string, Micros>();
   const bootOf = (type: string): Micros => t.types().find((k) => k.name === type)?.boot ?? ANY_BOOT;
-  let hires = 0;
+  const shown = plus(0 as Micros, 2 * t.settings.cloud.listLag + LIST_MARGIN);
+  const hires = new Hires(shown, t.fleet.news, t.reign.began);
+  let named = 0;
   let needed: ReadonlySet<string> = new Set();
   /** Types of machine that some waiting work could use. */
   let wanted: ReadonlySet<string> = new Set();
@@ -112,6 +122,7 @@
         return m ? [{ id, type: m.type, zone: m.zone, spot: m.spot, age: at - since }] : [];
       }),
       removed: [...removed.keys()],
+      asked: hires.asked(at),
     };
   });
 
@@ -134,7 +145,20 @@
       }
       const ids = closed.filter((id) => !(onlyEmpty && holds(id)));
       if (ids.length === 0 || !t.acting()) return;
-      yield* cloud.remove(ids, () => t.acting() && !(onlyEmpty && ids.some(holds)));
+      let sent = false;
+      const still = (): boolean => (sent ||= t.acting() && !(onlyEmpty && ids.some(holds)));
+      yield* cloud.remove(ids, still).pipe(
+        // Not sent, since one of them has work: it stayed closed, with room on it, for as long as that ran.
+        Effect.tapError(() =>
+          Effect.sync(() => {
+            if (sent) return;
+            for (const id of ids) {
+              const m = t.book.machines.get(id);
+              if (m?.closed === reason) m.closed = null;
+            }
+          }),
+        ),
+      );
       for (const id of ids) {
         t.book.removed(id);
         removed.set(id, t.clock());
@@ -148,6 +172,7 @@
     const failed: string[] = [];
     const dead: string[] = [];
     const deaf: string[] = [];
+    const mute: string[] = [];
     const stuck: string[] = [];
     const idle: Idle[] = [];
     const surplus: string[] = [];
@@ -156,6 +181,7 @@
       if (m.listed === 'failed') failed.push(m.id);
       else if (m.reported && at > t.book.leaseEnd(m) + SILENT) dead.push(m.id);
       else if (isDeaf(m, t.settings.workers, at)) deaf.push(m.id);
+      else if (isMute(m, t.settings.workers, at)) mute.push(m.id);
       else if (!m.reported) {
         if (at - m.since > boots.givenUpAfter(bootKey(m), bootOf(m.type), at) && at - t.reign.began > SETTLED)
           stuck.push(m.id);
@@ -183,6 +209,7 @@
     yield* remove(failed, 'failed');
     yield* remove(dead, 'silent');
     yield* remove(deaf, 'deaf');
+    yield* remove(mute, 'mute');
     yield* remove(stuck, 'never booted');
     yield* remove(surplus, 'overdue and not needed', true);
     // Only with a view of the demand from a recent cycle, and never while a start may be on its way.
@@ -214,10 +241,10 @@
       if (t.book.open(m, at) && free) bins.push({ id: m.id, type: m.type, zone: m.zone, spot: m.spot, free });
       else if (!m.reported || !m.confirmed) {
         if (m.listed === 'running') silent = true;
-        const alike = coming.get(keyOf(m));
+        const alike = coming.get(offerKey(m));
         const one = { m, a: awaitedOf(m, at) };
         if (alike) alike.push(one);
-        else coming.set(keyOf(m), [one]);
+        else coming.set(offerKey(m), [one]);
       }
     }
     const overdueOf = new Map<string, number>();
@@ -231,6 +258,10 @@
       overdueOf.set(bootKey({ type, zone }), (overdueOf.get(bootKey({ type, zone })) ?? 0) + late);
     }
     if (silent && at - t.reign.began < 10e6) return;
+    for (const { type, zone, spot } of hires.mayCome(t.book.machines.values(), at)) {
+      const k = types.get(type);
+      if (k) bins.push({ type, zone, spot, free: [k.cpus, k.gpus, k.memGb] });
+    }
     const { current, shown } = t.cache.calendars;
     const day = dayOf(t);
     const classes = shown?.value ?? new Map<string, readonly number[]>();
@@ -252,7 +283,7 @@
       companions: view.companions,
       surplus: view.surplus,
       avoid: (job) => t.book.avoid(job),
-      refused: (o) => at < (refusedUntil.get(keyOf(o)) ?? 0),
+      refused: (o) => at < (refusedUntil.get(offerKey(o)) ?? 0),
       late: (o) => boots.late(bootKey(o), bootOf(o.type), overdueOf.get(bootKey(o)) ?? 0, at),
       most: 40,
     });
@@ -262,27 +293,25 @@
       if (!t.acting()) return;
       // A name is never used again: it carries the term, which only one node ever holds, and the store's incarnation.
       // A term that a loss has taken and nobody remembers may come again, the time that its attempts begin at does not.
-      const name = `h-${t.doubt.incarnation?.id ?? ''}-${t.reign.term}.${t.cache.attempts}-${++hires}`;
-      const got = yield* cloud.hire(
-        { name, type: w.type, zone: w.zone, spot: w.spot, count: Math.min(50, w.count) },
-        t.acting,
-      );
-      if (got === null || got.length < w.count)
-        refusedUntil.set(keyOf(w), (t.clock() + REFUSED_FOR) as Micros);
+      const name = (): string =>
+        `h-${t.doubt.incarnation?.id ?? ''}-${t.reign.term}.${t.cache.attempts}-${++named}`;
+      const hire = hires.ask({ ...w, count: Math.min(50, w.count) }, name, t.clock());
+      t.fleet.news = { ...t.fleet.news, asked: hires.asked(t.clock()) };
+      const got = yield* cloud.hire(hire, t.acting);
+      hires.answered(hire);
+      if (got === null || got.length < hire.count)
+        refusedUntil.set(offerKey(w), (t.clock() + REFUSED_FOR) as Micros);
       if (got !== null) {
         const since = t.clock();
-        for (const id of got) {
-          const m = t.book.machine(id, since, { addr: '', type: w.type, zone: w.zone, spot: w.spot });
-          m.listed ??= 'booting';
-          rented.set(id, since);
-        }
+        for (const id of got)
+          if (t.book.rented(id, since, { type: w.type, zone: w.zone, spot: w.spot })) rented.set(id, since);
         yield* info('machines rented', {
           term: t.reign.term,
           type: w.type,
           zone: w.zone,
           spot: w.spot,
           count: got.length,
-          asked: w.count,
+          asked: hire.count,
         });
       }
     }
--- a/packages/controller/src/fleet/model.ts
+++ b/packages/controller/src/fleet/model.ts
@@ -13,6 +13,15 @@
   readonly zones: readonly string[];
 }
 
+/** What a machine can be rented as. */
+export interface Offer {
+  readonly type: string;
+  readonly zone: string;
+  readonly spot: boolean;
+}
+
+export const offerKey = (o: Offer): string => `${o.type}|${o.zone}|${o.spot}`;
+
 /** What a leader knows of the cloud and its list does not show yet; a new leader is warm with it. */
 export interface FleetNews {
   readonly rented: readonly {
@@ -23,6 +32,8 @@
     readonly age: number;
   }[];
   readonly removed: readonly string[];
+  /** Rentals that were asked for and not answered yet: they may be carried out, or have been. */
+  readonly asked?: readonly (Offer & { readonly count: number; readonly age: number })[];
 }
 
 export interface ListedMachine {
--- a/packages/controller/src/fleet/plan.ts
+++ b/packages/controller/src/fleet/plan.ts
@@ -3,7 +3,7 @@
 import type { Job } from '../jobs/model.js';
 import { add, type Companion, fits, type Room, room, times } from '../scheduler/model.js';
 import { guardsOf, strands } from '../scheduler/state.js';
-import type { MachineType } from './model.js';
+import { type MachineType, type Offer, offerKey } from './model.js';
 
 export interface Bin {
   /** A machine that is there; absent for those only planned. */
@@ -25,11 +25,6 @@
   readonly idleFor: Micros;
   readonly age: Micros;
 }
-export interface Offer {
-  readonly type: string;
-  readonly zone: string;
-  readonly spot: boolean;
-}
 export interface PlanInput {
   readonly types: readonly MachineType[];
   /** Room that is there or on its way: free room after the cycle, and machines still booting. */
@@ -53,8 +48,6 @@
   count: number;
 }
 
-const offerKey = (o: Offer): string => `${o.type}|${o.zone}|${o.spot}`;
-
 /** How many of a task a whole machine takes. */
 const perMachine = (t: MachineType, need: Room): number =>
   Math.min(1000, times(need, [t.cpus, t.gpus, t.memGb]));
--- a/packages/controller/src/leadership/peers.ts
+++ b/packages/controller/src/leadership/peers.ts
@@ -254,7 +254,18 @@
       typeof r.age === 'number',
   ) &&
   Array.isArray(v.removed) &&
-  v.removed.every(text);
+  v.removed.every(text) &&
+  (v.asked === undefined ||
+    (Array.isArray(v.asked) &&
+      v.asked.every(
+        (a: unknown) =>
+          object(a) &&
+          text(a.type) &&
+          text(a.zone) &&
+          typeof a.spot === 'boolean' &&
+          Number.isInteger(a.count) &&
+          typeof a.age === 'number',
+      )));
 /** Checked by hand, as reports are: eight come in a second, and a schema's decoder was a seventh of a node's rest. */
 const isBeat = (v: unknown): v is Beat =>
   object(v) &&
--- a/packages/controller/src/workers/book.ts
+++ b/packages/controller/src/workers/book.ts
@@ -87,7 +87,7 @@
 const HELD = seconds(1);
 /** A deaf machine gets nothing for so long; doubles while it turns out to be deaf still. */
 const SHUNNED = seconds(10);
-const LONGEST_SHUNNED = seconds(80);
+const LONGEST_SHUNNED = seconds(60);
 const FAULTY = 'faulty';
 /** What ends on a machine is recorded within a few turns after the machine has gone. */
 const FORMERLY_KEPT = 2000;
@@ -175,13 +175,20 @@
     return m;
   }
 
+  /** The cloud's answer to a rental names it, perhaps long after it has reported, or gone; false: it is gone. */
+  rented(id: string, at: Micros, what: { type: string; zone: string; spot: boolean }): boolean {
+    if (this.deleted.has(id)) return false;
+    const m = this.machine(id, at, { addr: '', ...what });
+    m.listed ??= 'booting';
+    return true;
+  }
+
   /** What an earlier leader has said of machines that the cloud's list does not show yet, or still shows. */
   warm(news: FleetNews, at: Micros): void {
     for (const id of news.removed) this.removed(id);
     for (const r of news.rented) {
-      if (this.deleted.has(r.id) || this.machines.has(r.id)) continue;
-      const m = this.machine(r.id, plus(at, -r.age), { addr: '', type: r.type, zone: r.zone, spot: r.spot });
-      m.listed = 'booting';
+      if (this.machines.has(r.id)) continue;
+      this.rented(r.id, plus(at, -r.age), { type: r.type, zone: r.zone, spot: r.spot });
     }
   }
 
--- a/packages/controller/test/fleet.test.ts
+++ b/packages/controller/test/fleet.test.ts
@@ -4,10 +4,15 @@
 import { readList } from '../src/fleet/cloud.js';
 import { type Micros, seconds } from '@lilacvalve/base/micros';
 import { type Awaited, Boots, countsFor, isOverdue, roomOnTheWay } from '../src/fleet/boots.js';
-import { type Offer, type PlanInput, type Rental, rentals, returns, typesWanted } from '../src/fleet/plan.js';
+import type { Offer } from '../src/fleet/model.js';
+import { type PlanInput, type Rental, rentals, returns, typesWanted } from '../src/fleet/plan.js';
 import type { Job, JobSpec } from '../src/jobs/model.js';
 import { job as anyJob } from './support/job.js';
-import { TYPES } from './support/settings.js';
+import { TYPES, worldSettings } from './support/settings.js';
+import { isMute } from '../src/fleet/duty.js';
+import { Hires } from '../src/fleet/hires.js';
+import { JobCache } from '../src/jobs/cache.js';
+import { Book, type Machine } from '../src/workers/book.js';
 
 const job = (over: Partial<JobSpec> = {}): Job =>
   anyJob('job-1', { urgency: 1, cpus: 4, spot: false, ...over });
@@ -232,3 +237,52 @@
   for (const v of [null, {}, { hosts: {} }, { hosts: [null] }, { hosts: [], more: 1 }])
     assert.throws(() => readList(v));
 });
+
+// A rental whose answer was lost was asked for again under a new name: twice as many machines came as were wanted.
+test('a rental without an answer is asked for again by its name, and a new leader counts on it', () => {
+  const offer = { type: 'c8', zone: 'a', spot: false };
+  const other = { ...offer, zone: 'b' };
+  let n = 0;
+  const name = () => `h-${++n}`;
+  const hires = new Hires(seconds(18), { rented: [], removed: [] }, 0 as Micros);
+  const first = hires.ask({ ...offer, count: 3 }, name, seconds(1));
+  assert.deepEqual(first, { ...offer, name: 'h-1', count: 3 });
+  assert.equal(hires.ask({ ...other, count: 1 }, name, seconds(2)).name, 'h-2');
+  assert.deepEqual(hires.ask({ ...offer, count: 2 }, name, seconds(5)), first, 'the very same');
+  const asked = hires.asked(seconds(6));
+  assert.deepEqual(asked.map((a) => [a.zone, a.count, a.age]), [['a', 3, 5e6], ['b', 1, 4e6]]); // prettier-ignore
+  hires.answered(first);
+  assert.equal(hires.ask({ ...offer, count: 2 }, name, seconds(7)).name, 'h-3');
+  assert.equal(
+    hires.ask({ ...other, count: 2 }, name, seconds(21)).name,
+    'h-4',
+    'the list would show it by now',
+  );
+  // It can't ask by these names: what may come is room on its way until the list would show it.
+  const next = new Hires(seconds(18), { rented: [], removed: [], asked }, seconds(100));
+  const known = { ...offer, since: seconds(97) };
+  const zones = (at: Micros): string[] => next.mayCome([known], at).map((o) => o.zone);
+  assert.deepEqual(zones(seconds(101)), ['a', 'a', 'b']);
+  assert.deepEqual(zones(seconds(113.5)), ['b']);
+  assert.deepEqual(zones(seconds(115)), []);
+});
+
+test('a machine that is up by the list and never reports is returned, and so is one that answers do not reach', () => {
+  const { workers } = worldSettings('n0');
+  const at = seconds(200);
+  const up = (runningSince: Micros | null, over = {}): Machine =>
+    ({ reported: false, confirmed: false, runningSince, unconfirmedSince: at, ...over }) as Machine;
+  assert.equal(isMute(up(seconds(120)), workers, at), true);
+  assert.equal(isMute(up(seconds(130)), workers, at), false, 'not before 40 s after `cancel_s`');
+  assert.equal(isMute(up(null), workers, at), false, 'it may boot still');
+  assert.equal(isMute(up(seconds(120), { reported: true }), workers, at), false);
+});
+
+test('a late answer to a rental does not bring back what is gone', () => {
+  const book = new Book(worldSettings('n0'), new JobCache(), 5, 0 as Micros);
+  const what = { type: 'c8', zone: 'a', spot: false };
+  assert.equal(book.rented('vm-1', seconds(1), what), true);
+  book.removed('vm-1');
+  assert.equal(book.rented('vm-1', seconds(2), what), false);
+  assert.equal(book.machines.size, 0);
+});
