--- a/packages/controller/src/reign/session.ts
+++ b/packages/controller/src/reign/session.ts
@@ -25,6 +25,7 @@
 import { Largest, largestDuty } from '../scheduler/largest.js';
 import { summary, turn } from '../scheduler/duty.js';
 import { upkeep } from '../scheduler/records.js';
+import { Waits } from '../scheduler/waits.js';
 import type { CycleView, Turn } from '../scheduler/turn.js';
 import type { Settings } from '../settings/settings.js';
 import type { StatePort } from '../state-store/port.js';
@@ -189,6 +190,7 @@
         dayTime: p.dayTime,
         learned: new Learned(),
         companions: new Map(),
+        waits: new Waits(),
         largest: new Largest(p.cache.largest),
       };
       const view: CycleView = { result: null, surplus: new Set(), companions: [], cost: 0 };
--- a/packages/controller/src/scheduler/cycle.ts
+++ b/packages/controller/src/scheduler/cycle.ts
@@ -207,6 +207,8 @@
 
   const NONE: Room = [0, 0, 0];
   const NOBODY: ReadonlySet<Evicted> = new Set();
+  /** One task of each, or one gang: they have waited for that, and the rest of the GPU machines' room stays theirs. */
+  const overdue = new Set(input.queued.flatMap((q) => (q.overdue === true ? [q.job] : [])));
   const floor: Floor = {
     nodes,
     zones: [...new Set(input.nodes.map((n) => n.zone))].sort(),
@@ -214,6 +216,7 @@
     lostSight,
     companions: input.companions,
     avoid: input.avoid,
+    overdue,
     share: (t) => share(t, NONE),
     withinGuarantee,
   };
@@ -272,6 +275,7 @@
     if (choice === null) return false;
     const { job } = item.queued;
     take(job, team, group, choice);
+    overdue.delete(job);
     item.last =
       choice.victims.size === 0 && job.spec.shape !== 'gang'
         ? { n: choice.machines[0]!, free: choice.free }
@@ -311,7 +315,10 @@
     const { spec } = job;
     // What is cautious looks for less than others of its shape, and what failed somewhere is not sent there again.
     const key =
-      cautious || (gang && input.avoid(job) !== null) || (input.lending !== undefined && mayBorrow(spec))
+      cautious ||
+      overdue.has(job) ||
+      (gang && input.avoid(job) !== null) ||
+      (input.lending !== undefined && mayBorrow(spec))
         ? ''
         : [
             spec.team,
--- a/packages/controller/src/scheduler/model.ts
+++ b/packages/controller/src/scheduler/model.ts
@@ -97,6 +97,8 @@
   readonly cautious: boolean;
   /** Machines may be rented for it. */
   readonly rents: boolean;
+  /** Nothing of it has been started for long, see waits.ts: its next task need not leave GPUs what those to come might need. */
+  readonly overdue?: boolean;
 }
 
 export interface Start {
--- a/packages/controller/src/scheduler/place.ts
+++ b/packages/controller/src/scheduler/place.ts
@@ -74,6 +74,8 @@
   const slateOf = (job: Job, level: Level, list: readonly NodeState[]): Slate | null => {
     // Where only some zones are left, or machines are shunned, the list is another each time.
     if (job.spec.spread || job.spec.oneZone || floor.avoid(job) !== null) return null;
+    // What it may use is another for its next task.
+    if (floor.overdue.has(job)) return null;
     let mine = slates.get(job);
     if (!mine) slates.set(job, (mine = []));
     return (mine[level] ??= { versions: new Int32Array(list.length).fill(-1), options: [] });
@@ -115,7 +117,8 @@
     slate: Slate | null,
   ): Choice | null => {
     const need = room(job.spec);
-    const guards = guardsOf(floor.companions, job);
+    const overdue = floor.overdue.has(job);
+    const guards = guardsOf(floor.companions, job, overdue);
     const used = new Map<NodeState, Room>();
     const victims = new Set<Evicted>();
     /** The place on a machine as things stand, or null. */
@@ -128,7 +131,7 @@
       const mine = used.get(n) ?? NONE;
       const left: Room = [n.free[0] - mine[0], n.free[1] - mine[1], n.free[2] - mine[2]];
       const after: Room = [left[0] - need[0], left[1] - need[1], left[2] - need[2]];
-      if (strands(guards, job, n.view.total, n.surplus, after)) return null;
+      if (strands(guards, job, n.view.total, n.surplus, after, overdue)) return null;
       if (fits(need, left))
         return { n, score: score(floor.companions, job, n, after), victims: [], free: true };
       if (level === 0) return null;
--- a/packages/controller/src/scheduler/state.ts
+++ b/packages/controller/src/scheduler/state.ts
@@ -113,6 +113,8 @@
   readonly lostSight: ReadonlySet<Job>;
   readonly companions: readonly Companion[];
   readonly avoid: (job: Job) => ReadonlySet<string> | null;
+  /** See `QueuedJob.overdue`. */
+  readonly overdue: ReadonlySet<Job>;
   readonly share: (team: TeamState) => number;
   readonly withinGuarantee: (team: TeamState, more: Room) => boolean;
 }
@@ -126,14 +128,17 @@
   );
 };
 
-/** Companions that wait, or will soon be waited for, before whom `job` must leave a GPU machine its room. */
-export const guardsOf = (companions: readonly Companion[], job: Job): Companion[] =>
+/**
+ * Companions that wait, or will soon be waited for, before whom `job` must leave a GPU machine its room; once it is
+ * `overdue` only those that wait.
+ */
+export const guardsOf = (companions: readonly Companion[], job: Job, overdue = false): Companion[] =>
   job.spec.gpus > 0
     ? []
     : companions.filter(
         (c) =>
           c.urgency >= job.spec.urgency &&
-          (c.waiting || job.spec.estimate === 0 || job.spec.estimate > c.patience),
+          (c.waiting || (!overdue && (job.spec.estimate === 0 || job.spec.estimate > c.patience))),
       );
 
 /**
@@ -147,11 +152,12 @@
   total: Room,
   surplus: boolean,
   left: Room,
+  overdue = false,
 ): boolean => {
   const gpus = total[1];
   if (job.spec.gpus > 0 || gpus === 0) return false;
   // Without any GPU task it is dear and idle: it should become empty and go back, not be kept by CPU tasks.
-  if (job.spec.urgency === 0 && job.spec.types === null && (surplus || left[1] >= gpus - EPSILON))
+  if (!overdue && job.spec.urgency === 0 && job.spec.types === null && (surplus || left[1] >= gpus - EPSILON))
     return true;
   for (const c of guards)
     if (left[0] < left[1] * c.cpusPerGpu - EPSILON || left[2] < left[1] * c.memPerGpu - EPSILON) return true;
--- a/packages/controller/src/scheduler/turn.ts
+++ b/packages/controller/src/scheduler/turn.ts
@@ -11,6 +11,7 @@
 import type { StatePort } from '../state-store/port.js';
 import type { Book } from '../workers/book.js';
 import type { Largest } from './largest.js';
+import type { Waits } from './waits.js';
 import type { Companion, CycleResult } from './model.js';
 
 export interface Turn {
@@ -34,6 +35,7 @@
   readonly clock: () => Micros;
   /** Time of day: deadlines count from a time of day. */
   readonly dayTime: () => Micros;
+  readonly waits: Waits;
   /** The largest jobs of each class, as last seen. */
   readonly largest: Largest;
   /** What its records have shown of classes, and is not written yet. */
--- a/packages/controller/src/scheduler/views.ts
+++ b/packages/controller/src/scheduler/views.ts
@@ -164,8 +164,10 @@
       tied === null ? rankOf(job, day, promise, broken, from) : passedOver ? from : IN_TIME_RANK + tied;
     const rents = !broken || at - t.book.heldUntil(job, at) > TRIED_BY_NOW;
     const gathers = gang && !broken && from !== null && day >= from + GATHERS_AFTER;
-    out.push({ job, tasks, rank, gathers, cautious: broken, rents });
+    const overdue = t.waits.overdue(job, at) && !broken;
+    out.push({ job, tasks, rank, gathers, cautious: broken, rents, ...(overdue ? { overdue } : {}) });
   }
+  t.waits.keep(t.cache.jobs);
   return out;
 };
 
--- a/packages/controller/test/late-writes.test.ts
+++ b/packages/controller/test/late-writes.test.ts
@@ -34,6 +34,7 @@
 import type { Job } from '../src/jobs/model.js';
 import { Gathered, rebuild, type Rebuild, writeBack } from '../src/rebuild/duty.js';
 import { Largest } from '../src/scheduler/largest.js';
+import { Waits } from '../src/scheduler/waits.js';
 import { commit, upkeep } from '../src/scheduler/records.js';
 import type { Start } from '../src/scheduler/model.js';
 import type { Turn } from '../src/scheduler/turn.js';
@@ -279,6 +280,7 @@
       largest: new Largest(),
       learned: new Learned(),
       companions: new Map(),
+      waits: new Waits(),
     };
   };
   return { cache, doubt, store, feed, users, reign };
--- a/packages/controller/test/scheduler.test.ts
+++ b/packages/controller/test/scheduler.test.ts
@@ -7,6 +7,7 @@
 import { schedule } from '../src/scheduler/cycle.js';
 import { Largest } from '../src/scheduler/largest.js';
 import type { CycleInput, CycleResult, Holder, NodeView, QueuedJob } from '../src/scheduler/model.js';
+import { Waits } from '../src/scheduler/waits.js';
 import { surplusOf } from '../src/scheduler/surplus.js';
 import { job } from './support/job.js';
 import { input } from './support/cycle.js';
@@ -107,6 +108,7 @@
     .map((j, i) => ({
       ...queued(j, i, i % 7 === 6),
       gathers: i % 2 === 0 && j.spec.shape === 'gang',
+      overdue: i % 3 === 1,
       tasks: queued(j).tasks.filter((t) => !j.placed.has(t)),
     }));
   return input({
@@ -483,3 +485,23 @@
   assert.deepEqual(placed(short, true, nodes.slice(0, 2)), ['job-4 m1'], 'and what is gone by then');
   assert.deepEqual(placed(small, true, [node('m2'), node('m3', { zone: 'b' })]), ['job-3 m3'], 'never whole');
 });
+
+// Small arrays waited for minutes beside GPU machines that nobody used, until other machines were free.
+test('a job that has waited for long gets one task on room that is kept for GPU jobs to come, not for those that wait', () => {
+  const companion = { urgency: 1, cpusPerGpu: 2, memPerGpu: 2, patience: 0 as Micros };
+  const placed = (overdue: boolean, waiting: boolean): number => {
+    const j = job('job-1', { cpus: 1, memGb: 1, tasks: 4, urgency: 0, estimate: 60e6 as Micros });
+    const nodes = [node('m1', { type: 'g4', total: [8, 4, 64] })];
+    const companions = [{ ...companion, waiting }];
+    return count(schedule(input({ nodes, queued: [{ ...queued(j), overdue }], companions })), 'job-1');
+  };
+  assert.equal(placed(false, false), 0);
+  assert.equal(placed(true, false), 1);
+  assert.equal(placed(true, true), 0);
+  const waits = new Waits();
+  const j = job('job-1');
+  const asked = (at: number): boolean => waits.overdue(j, seconds(at));
+  assert.deepEqual([asked(100), asked(170), asked(171)], [false, false, true]);
+  j.attempt = 7;
+  assert.deepEqual([asked(172), asked(242), asked(243)], [false, false, true], 'a start begins it anew');
+});
--- a/packages/controller/test/support/plain-place.ts
+++ b/packages/controller/test/support/plain-place.ts
@@ -62,7 +62,17 @@
       add(left, need, -taken.filter((x) => x === n).length);
       const after: Room = [...left];
       add(after, need, -1);
-      if (strands(guardsOf(floor.companions, job), job, v.total, n.surplus, after)) continue;
+      if (
+        strands(
+          guardsOf(floor.companions, job, floor.overdue.has(job)),
+          job,
+          v.total,
+          n.surplus,
+          after,
+          floor.overdue.has(job),
+        )
+      )
+        continue;
       const promised = leftBy(victims, n, left);
       add(promised, n.leaving);
       const out: Evicted[] = [];
