--- a/packages/controller/test/support/late-store.ts
+++ b/packages/controller/test/support/late-store.ts
@@ -16,6 +16,7 @@
 import { type Rebuild } from '../../src/rebuild/duty.js';
 import type { Fact } from '../../src/rebuild/witness.js';
 import { Largest } from '../../src/scheduler/largest.js';
+import { Waits } from '../../src/scheduler/waits.js';
 import type { Turn } from '../../src/scheduler/turn.js';
 import { Book } from '../../src/workers/book.js';
 import { type Condition, Refused, type StateFailure, type Write } from '../../src/state-store/client.js';
@@ -270,6 +271,7 @@
       largest: new Largest(),
       learned: new Learned(),
       companions: new Map(),
+      waits: new Waits(),
     };
   };
   return { cache, doubt, store, feed, users, reign };
