--- a/packages/lab/src/world/cutoffs.ts
+++ b/packages/lab/src/world/cutoffs.ts
@@ -71,6 +71,8 @@
 
 export class Cutoffs {
   private readonly ties = new Map<string, string>();
+  /** Of all that were written: a job may be over before its user is told that it was accepted. */
+  private readonly seen = new Map<string, string>();
   private readonly said = new Map<string, number>();
   private seq = 0;
   private version = 0;
@@ -118,6 +120,7 @@
       if (key.startsWith(ACTIVE)) {
         const tie = (JSON.parse(kept.value) as { k?: string }).k ?? '';
         const id = key.slice(ACTIVE.length);
+        this.seen.set(id, tie);
         // Written and not told: nobody may know of it after a loss, and its user's next try is the first.
         if (!this.p.told(id)) continue;
         const before = this.ties.get(id);
@@ -125,7 +128,7 @@
         this.ties.set(id, tie);
       } else if (key.startsWith(FINAL)) {
         const id = key.slice(FINAL.length);
-        if (this.ties.has(id)) this.over.set(id, this.ties.get(id)!);
+        if (this.seen.has(id)) this.over.set(id, this.seen.get(id)!);
       }
     }
     const records = [...state.keys.keys()].filter((k) => k.startsWith(RECORD)).sort();
--- /dev/null
+++ b/packages/lab/src/world/meetings/answerLost.ts
@@ -0,0 +1,83 @@
+import {
+  ACTIVE,
+  CALENDAR,
+  FINAL,
+  INCARNATION,
+  LEADER,
+  LIFE,
+  RECORD,
+  SHOWN,
+  TYPES,
+} from '@lilacvalve/controller/jobs/keys';
+import type { Condition, Write } from '@lilacvalve/controller/state-store/client';
+import { PLAIN, type Shared, type Trouble } from './stage.js';
+
+const PAGES = 's/a/p/';
+
+/** What a change is, by the keys that it sets and deletes. */
+export const kindOf = (when: readonly Condition[], then: readonly Write[]): string => {
+  const sets = (prefix: string): boolean => then.some((w) => 'set' in w && w.set.startsWith(prefix));
+  const drops = (prefix: string): boolean => then.some((w) => 'delete' in w && w.delete.startsWith(prefix));
+  if (sets(INCARNATION)) return 'incarnation';
+  if (sets(LEADER)) return 'campaign';
+  if (sets(RECORD)) return /"l":|"r":|"y":/.test(JSON.stringify(then)) ? 'record with loans' : 'record';
+  if (sets(FINAL)) return sets(CALENDAR) ? 'closing of tied jobs' : 'closing';
+  if (drops(RECORD)) return 'folding';
+  if (sets(PAGES)) return 'page of the accounts';
+  if (sets(ACTIVE))
+    return when.some((c) => c.key.startsWith(ACTIVE) && c.stamp > 0) ? 'withdrawal' : 'submission';
+  if (sets(SHOWN)) return 'what classes have shown';
+  if (sets(CALENDAR)) return 'calendar';
+  if (sets(TYPES)) return 'hint';
+  return sets(LIFE) ? 'calm or settled' : 'other';
+};
+
+/** Transactions are carried out at once and nothing is heard of them; the lead changes, so that campaigns are among them. */
+export const answerLost = (m: Shared): Trouble => {
+  const { w } = m;
+  /** By revision: what its sender does not know of yet. */
+  const unheard = new Map<number, { readonly by: string; readonly kind: string }>();
+  w.state.onUnheard = (by, when, then, revision) => {
+    const kind = kindOf(when, then);
+    m.meet(`${kind} unheard`);
+    unheard.set(revision, { by, kind });
+    if (kind !== 'campaign') return;
+    // Some time-outs later it leads by that very campaign.
+    const term = then.flatMap((x) =>
+      'set' in x && x.set === LEADER ? (x.value as { term: number }).term : [],
+    )[0];
+    const look = (times: number): void => {
+      if (w.leader() === by && w.term() === term) return m.meet('lead taken up');
+      if (times > 0) m.at(100_000, () => look(times - 1));
+    };
+    m.at(100_000, () => look(25));
+  };
+  w.state.onRead = (by, revision) => {
+    for (const [at, one] of unheard) {
+      if (at > revision) continue;
+      if (one.by !== by) m.meet(`${one.kind} read by another first`);
+      unheard.delete(at);
+    }
+  };
+  return {
+    begin: () => {
+      w.strike('answerLost');
+      const lasts = w.luck.between(10e6, 30e6);
+      w.state.unheardShare = w.luck.between(0.1, 0.4);
+      w.troubled(lasts + 5e6);
+      m.at(lasts, () => (w.state.unheardShare = 0));
+      for (let n = 0; n < 6; n++)
+        m.at(w.luck.between(0, lasts), () => {
+          const job = { ...PLAIN, tasks: 1 + w.luck.int(2), cpus: 1, runUs: w.luck.between(2e6, 20e6) };
+          const id = w.submit({ job, urgency: 'high', due: null }, () => w.node());
+          if (id !== undefined && w.luck.chance(0.5))
+            m.at(w.luck.between(1e6, 10e6), () => w.cancel(id, () => w.node(), () => undefined)); // prettier-ignore
+        });
+      for (let at = w.luck.between(1e6, 4e6); at < lasts; at += w.luck.between(5e6, 12e6))
+        m.at(at, () => {
+          const leader = w.leader();
+          if (leader !== undefined) m.change(leader);
+        });
+    },
+  };
+};
--- a/packages/lab/src/world/meetings/index.ts
+++ b/packages/lab/src/world/meetings/index.ts
@@ -3,6 +3,7 @@
  * with the others of the day, or laid over them by `together`.
  */
 import type { Worker } from '../worker.js';
+import { answerLost } from './answerLost.js';
 import { farEnds } from './farEnds.js';
 import { gap } from './gap.js';
 import { handover } from './handover.js';
@@ -26,6 +27,7 @@
   farEnds,
   heldMachine,
   handover,
+  answerLost,
 };
 export type Meeting = keyof typeof TROUBLES;
 export const MEETINGS = Object.keys(TROUBLES) as Meeting[];
--- a/packages/lab/src/world/state.ts
+++ b/packages/lab/src/world/state.ts
@@ -9,6 +9,7 @@
   type Found,
   type Outcome,
   type StateFailure,
+  type Write,
 } from '@lilacvalve/controller/state-store/client';
 import type { StatePort } from '@lilacvalve/controller/state-store/port';
 import { micros } from '@lilacvalve/base/micros';
@@ -63,6 +64,17 @@
   lossy = 0;
   /** This share of transactions gets no answer and is carried out 2 to 12 s later. */
   lateShare = 0;
+  /** This share of transactions is carried out at once, and nothing is heard of it. */
+  unheardShare = 0;
+  /** Such a one was carried out. */
+  onUnheard: (
+    by: string,
+    when: readonly { readonly key: string; readonly stamp: number }[],
+    then: readonly Write[],
+    revision: number,
+  ) => void = () => undefined;
+  /** What a controller has read shows it the store up to this revision. */
+  onRead: (by: string, revision: number) => void = () => undefined;
   /** Until then answers come late, beyond the callers' time-outs and out of order; requests are carried out. */
   slowUntil = 0;
   /** A watch whose time is over while its controller is not served ends with no answer. */
@@ -339,21 +351,45 @@
           });
         });
       });
+    /** Carried out if it is served, and its answer lost. */
+    const unheard = (go: () => Outcome | StateFailure, limitMs: number): Effect.Effect<never, StateFailure> =>
+      Effect.suspend(() => {
+        const sent = this.time.now;
+        const served = port.lastServed;
+        return Effect.flatMap(call<Outcome>(go, limitMs), () => {
+          if (port.lastServed === this.time.now) port.lastServed = served;
+          return Effect.async<never, StateFailure>((resume) => {
+            this.time.after(sent + limitMs * 1000 - this.time.now, () => {
+              port.lastRefused = this.time.now;
+              resume(Effect.fail(new Lost({ reason: 'timeout' })));
+            });
+          });
+        });
+      });
     return Object.assign(port, {
       leading: () => undefined,
       writeWait: () => micros(0),
       transact: (when, then, _priority, limitMs) =>
-        call<Outcome>(
-          inOrder(() => {
+        Effect.suspend(() => {
+          const go = inOrder(() => {
             for (const w of then) {
               if ('set' in w && w.lease !== undefined && !this.leases.has(w.lease))
                 return new Refused({ status: 400, reason: 'no such lease' });
             }
             return this.transact([...when], JSON.parse(JSON.stringify(then)) as []);
-          }),
-          limitMs,
-          then.length === 0 ? '' : 'set' in then[0]! ? then[0].set : then[0]!.delete,
-        ),
+          });
+          if (this.unheardShare > 0 && this.luck.chance(this.unheardShare))
+            return unheard(() => {
+              const o = go();
+              if ('ok' in o && o.ok) this.onUnheard(node, when, then, o.revision);
+              return o;
+            }, limitMs);
+          return call<Outcome>(
+            go,
+            limitMs,
+            then.length === 0 ? '' : 'set' in then[0]! ? then[0].set : then[0]!.delete,
+          );
+        }),
       get: (key) =>
         call<Found>(() => {
           const copy = this.copy();
@@ -394,8 +430,10 @@
           }
           return { tooOld: false, revision: this.revision, changes };
         };
-        if (blockMs === 0) return call(look, 1500);
-        return call<Changes>(look, blockMs + 1500).pipe(
+        const read = (from: Effect.Effect<Changes, StateFailure>): Effect.Effect<Changes, StateFailure> =>
+          Effect.tap(from, (c) => Effect.sync(() => c.tooOld || this.onRead(node, c.revision)));
+        if (blockMs === 0) return read(call(look, 1500));
+        const held = call<Changes>(look, blockMs + 1500).pipe(
           Effect.flatMap((first) => {
             if (first.tooOld || first.changes.length > 0) return Effect.succeed(first);
             return Effect.async<Changes, StateFailure>((resume) => {
@@ -428,6 +466,7 @@
             });
           }),
         );
+        return read(held);
       },
       grant: (ttl) =>
         call(() => {
