--- a/packages/controller/src/state-store/budget.ts
+++ b/packages/controller/src/state-store/budget.ts
@@ -13,6 +13,13 @@
   Upkeep = 3,
 }
 
+/** The clock that it goes by, and a call after so many milliseconds. */
+export interface Timing {
+  readonly now: () => Micros;
+  readonly after: (ms: number, go: () => void) => void;
+}
+const STEADY: Timing = { now, after: (ms, go) => void setTimeout(go, ms) };
+
 interface Waiting {
   readonly priority: Priority;
   readonly cost: number;
@@ -21,18 +28,20 @@
 
 export class Budget {
   private tokens: number;
-  private last = now();
+  private last: Micros;
   /** As long as there are askers: users' requests are bounded in number (overload), duties ask one at a time. */
   private readonly waiting: Waiting[] = [];
   /** What all of them ask for. */
   private asked = 0;
-  private timer: NodeJS.Timeout | null = null;
+  private armed = false;
 
   constructor(
     private rate: number,
     private readonly burst: number,
+    private readonly time: Timing = STEADY,
   ) {
     this.tokens = burst;
+    this.last = time.now();
   }
 
   setRate(rate: number): void {
@@ -81,19 +90,20 @@
   }
 
   private refill(): void {
-    const t = now();
+    const t = this.time.now();
     this.tokens = Math.min(this.burst, this.tokens + ((t - this.last) / 1e6) * this.rate);
     this.last = t;
   }
 
   private arm(): void {
-    if (this.timer !== null || this.waiting.length === 0) return;
+    if (this.armed || this.waiting.length === 0) return;
     const need = Math.min(this.waiting[0]!.cost, this.burst) - this.tokens;
-    this.timer = setTimeout(() => this.pump(), Math.max(1, Math.ceil((need / this.rate) * 1000)));
+    this.armed = true;
+    this.time.after(Math.max(1, Math.ceil((need / this.rate) * 1000)), () => this.pump());
   }
 
   private pump(): void {
-    this.timer = null;
+    this.armed = false;
     this.refill();
     while (this.waiting.length > 0 && this.tokens >= Math.min(this.waiting[0]!.cost, this.burst)) {
       const w = this.waiting.shift()!;
@@ -104,3 +114,33 @@
     this.arm();
   }
 }
+
+/** One controller's parts of what the state service takes of all together. */
+export class Parts {
+  readonly requests: Budget;
+  readonly writes: Budget;
+
+  constructor(
+    private readonly nodes: number,
+    private readonly all: { readonly rps: number; readonly writeRps: number },
+    time: Timing = STEADY,
+  ) {
+    const share = 1 / Math.max(1, nodes);
+    this.requests = new Budget(all.rps * share, all.rps * share, time);
+    this.writes = new Budget(all.writeRps * share, all.writeRps * share, time);
+  }
+
+  /** The leader writes the most: it takes a larger part of the budgets than its followers. */
+  leading(yes: boolean): void {
+    const n = this.nodes;
+    const part = n <= 1 ? 0.95 : yes ? 0.5 : 0.5 / (n - 1);
+    this.requests.setRate(this.all.rps * (n <= 1 ? 0.95 : yes ? 0.4 : 0.6 / (n - 1)));
+    this.writes.setRate(this.all.writeRps * part);
+  }
+
+  /** After a refusal: the others have used what we thought was ours. */
+  drain(): void {
+    this.requests.drain();
+    this.writes.drain();
+  }
+}
--- a/packages/controller/src/state-store/client.ts
+++ b/packages/controller/src/state-store/client.ts
@@ -7,7 +7,7 @@
 import { type Micros, now, toMillis } from '@lilacvalve/base/micros';
 import { tally } from '../tally.js';
 import type { Settings } from '../settings/settings.js';
-import { Budget, Priority } from './budget.js';
+import { Parts, Priority } from './budget.js';
 
 /** The service said it did not carry the request out (429, 503, 400). */
 export class Refused extends Data.TaggedError('Refused')<{
@@ -59,34 +59,27 @@
 
 export class StateStore {
   private readonly client: HttpClient;
-  private readonly requests: Budget;
-  private readonly writes: Budget;
+  private readonly parts: Parts;
   /** When the service last served this node. */
   lastServed = Number.NEGATIVE_INFINITY;
   /** When the service last refused with 503, or gave no answer. */
   lastRefused = Number.NEGATIVE_INFINITY;
 
   constructor(
-    private readonly settings: Pick<Settings, 'stateAddress' | 'nodes' | 'state'>,
+    settings: Pick<Settings, 'stateAddress' | 'nodes' | 'state'>,
     private readonly clock: () => Micros = now,
   ) {
     this.client = new HttpClient(settings.stateAddress, keptOpen(24));
-    const share = 1 / Math.max(1, settings.nodes);
-    this.requests = new Budget(settings.state.rps * share, settings.state.rps * share);
-    this.writes = new Budget(settings.state.writeRps * share, settings.state.writeRps * share);
+    this.parts = new Parts(settings.nodes, settings.state);
   }
 
-  /** The leader writes the most: it takes a larger part of the budgets than its followers. */
   leading(yes: boolean): void {
-    const n = this.settings.nodes;
-    const part = n <= 1 ? 0.95 : yes ? 0.5 : 0.5 / (n - 1);
-    this.requests.setRate(this.settings.state.rps * (n <= 1 ? 0.95 : yes ? 0.4 : 0.6 / (n - 1)));
-    this.writes.setRate(this.settings.state.writeRps * part);
+    this.parts.leading(yes);
   }
 
   /** How long a change asked for now would wait for its part of the rate. */
   writeWait(): Micros {
-    return this.writes.wait();
+    return this.parts.writes.wait();
   }
 
   transact(
@@ -101,7 +94,7 @@
         'set' in w ? { set: w.set, value: w.value, tenancy: w.lease } : { delete: w.delete },
       ),
     });
-    return this.writes.take(priority, then.length).pipe(
+    return this.parts.writes.take(priority, then.length).pipe(
       Effect.zipRight(this.call('POST', '/multi', body, priority, timeoutMs)),
       Effect.flatMap((reply): Effect.Effect<Outcome, StateFailure> => {
         const value = parse(reply);
@@ -197,8 +190,7 @@
 
   private refused(reply: Reply): Effect.Effect<never, Refused> {
     if (reply.status === 429) {
-      this.requests.drain();
-      this.writes.drain();
+      this.parts.drain();
     }
     return Effect.fail(new Refused({ status: reply.status, reason: reply.body.toString('utf8', 0, 200) }));
   }
@@ -211,7 +203,7 @@
     timeoutMs: number,
   ): Effect.Effect<Reply, NoAnswer> {
     tally('store');
-    return this.requests.take(priority, 1).pipe(
+    return this.parts.requests.take(priority, 1).pipe(
       Effect.zipRight(this.client.request(method, path, body, timeoutMs)),
       Effect.tap((reply) =>
         Effect.sync(() => {
--- a/packages/lab/src/world/meetings/index.ts
+++ b/packages/lab/src/world/meetings/index.ts
@@ -12,6 +12,7 @@
 import { lateWrites } from './lateWrites.js';
 import { leaderAlone } from './leaderAlone.js';
 import { machineDeaf } from './machineDeaf.js';
+import { manySmall } from './manySmall.js';
 import { stateRefuses } from './stateRefuses.js';
 import { stateSlow } from './stateSlow.js';
 import { Shared, type Stage, type Trouble } from './stage.js';
@@ -28,6 +29,7 @@
   heldMachine,
   handover,
   answerLost,
+  manySmall,
 };
 export type Meeting = keyof typeof TROUBLES;
 export const MEETINGS = Object.keys(TROUBLES) as Meeting[];
--- a/packages/lab/src/world/meetings/stage.ts
+++ b/packages/lab/src/world/meetings/stage.ts
@@ -30,6 +30,8 @@
   /** The acting leader has had a report of the machine. */
   heardFrom(machine: string): boolean;
   node(): string;
+  /** What the controllers that are up keep in memory. */
+  caches(): readonly { readonly jobs: number; readonly tail: number; readonly finals: number }[];
   crash(node: string, back: number): void;
   giveWay(node: string, forMicros: number): void;
   cut(a: string, b: string, state: 'held' | 'reset', lasts: number): void;
--- a/packages/lab/src/world/state.ts
+++ b/packages/lab/src/world/state.ts
@@ -11,6 +11,7 @@
   type StateFailure,
   type Write,
 } from '@lilacvalve/controller/state-store/client';
+import { Parts, Priority } from '@lilacvalve/controller/state-store/budget';
 import type { StatePort } from '@lilacvalve/controller/state-store/port';
 import { micros } from '@lilacvalve/base/micros';
 import type { Links } from './links.js';
@@ -64,6 +65,13 @@
   lossy = 0;
   /** This share of transactions gets no answer and is carried out 2 to 12 s later. */
   lateShare = 0;
+  /** Requests, and puts and deletes, a second for all controllers; null: as many as they like. */
+  limits: { readonly rps: number; readonly writeRps: number; readonly nodes: number } | null = null;
+  /** What is left of this second's worth. */
+  private readonly left = { at: 0, rps: 0, writeRps: 0 };
+  /** Every put and delete that was asked for: when. */
+  readonly written: number[] = [];
+  refusedAsTooMany = 0;
   /** This share of transactions is carried out at once, and nothing is heard of it. */
   unheardShare = 0;
   /** Such a one was carried out. */
@@ -236,8 +244,66 @@
     return { ok: true, revision: this.revision };
   }
 
-  /** The port one node has to the service. */
+  /** Whether the limits allow a request with so many puts and deletes. */
+  private allows(writes: number): boolean {
+    if (writes > 0) for (let n = 0; n < writes; n++) this.written.push(this.time.now);
+    if (this.limits === null) return true;
+    const { left, limits } = this;
+    const passed = (this.time.now - left.at) / 1e6;
+    left.at = this.time.now;
+    for (const k of ['rps', 'writeRps'] as const) left[k] = Math.min(limits[k], left[k] + passed * limits[k]);
+    if (left.rps >= 1 && left.writeRps >= writes) {
+      left.rps--;
+      left.writeRps -= writes;
+      return true;
+    }
+    this.refusedAsTooMany++;
+    return false;
+  }
+
+  /** The port one node has to the service: by its budgets, where the service has limits. */
   port(node: string): StatePort {
+    const { limits } = this;
+    const port = this.unlimited(node);
+    if (limits === null) return port;
+    const timing = {
+      now: this.time.micros,
+      after: (ms: number, go: () => void) => void this.time.after(ms * 1000, go),
+    };
+    const parts = new Parts(limits.nodes, limits, timing);
+    const call = <A>(priority: Priority, writes: number, ask: () => Effect.Effect<A, StateFailure>) =>
+      Effect.suspend(() => (writes > 0 ? parts.writes.take(priority, writes) : Effect.void)).pipe(
+        Effect.zipRight(parts.requests.take(priority, 1)),
+        Effect.zipRight(
+          Effect.suspend(() => {
+            if (this.allows(writes)) return ask();
+            parts.drain();
+            return Effect.fail(new Refused({ status: 429, reason: 'too many' }));
+          }),
+        ),
+      );
+    return new Proxy(port, {
+      get: (of, k) => {
+        const limited: Partial<StatePort> = {
+          leading: (yes) => parts.leading(yes),
+          writeWait: () => parts.writes.wait(),
+          transact: (when, then, priority, ms) =>
+            call(priority, then.length, () => of.transact(when, then, priority, ms)),
+          get: (key, ms) => call(Priority.Read, 0, () => of.get(key, ms)),
+          page: (prefix, after, limit, priority = Priority.Read) =>
+            call(priority, 0, () => of.page(prefix, after, limit, priority)),
+          follow: (prefix, after, ms) =>
+            call(ms === 0 ? Priority.Commit : Priority.Read, 0, () => of.follow(prefix, after, ms)),
+          grant: (ttl) => call(Priority.Lease, 0, () => of.grant(ttl)),
+          extend: (lease, ms) => call(Priority.Lease, 0, () => of.extend(lease, ms)),
+          release: (lease) => call(Priority.Lease, 0, () => of.release(lease)),
+        };
+        return limited[k as keyof StatePort] ?? Reflect.get(of, k);
+      },
+    });
+  }
+
+  private unlimited(node: string): StatePort {
     const port = { lastServed: Number.NEGATIVE_INFINITY, lastRefused: Number.NEGATIVE_INFINITY };
     /** Transactions that this process has sent, and the newest that was carried out. */
     let sent = 0;
--- a/packages/lab/src/world/world.ts
+++ b/packages/lab/src/world/world.ts
@@ -252,6 +252,7 @@
     this.luck = new Luck(seed);
     this.links = new Links(this.time, this.luck);
     this.state = new StateService(this.time, this.luck, this.links);
+    if (troubles.manySmall) this.state.limits = { rps: 100, writeRps: 25, nodes: size.nodes.length };
     this.count = new Count(
       (id) => {
         const j = this.jobs.get(id);
@@ -315,6 +316,12 @@
           ?.node.book()
           ?.machines.get(machine)?.reported === true,
       node: () => this.node(),
+      caches: () =>
+        this.up().map(({ node: { cache } }) => ({
+          jobs: cache.jobs.size,
+          tail: cache.tail.size,
+          finals: cache.finals.size,
+        })),
       crash: (node, back) => this.crash(node, back),
       giveWay: (node, forMicros) => {
         const l = this.live.get(node);
