--- a/packages/lab/src/world/meetings/index.ts
+++ b/packages/lab/src/world/meetings/index.ts
@@ -9,6 +9,7 @@
 import { atLimit } from './atLimit.js';
 import { cancelInHandover } from './cancelInHandover.js';
 import { cancelNow } from './cancelNow.js';
+import { answerLost } from './answerLost.js';
 import { farEnds } from './farEnds.js';
 import { gap } from './gap.js';
 import { handover } from './handover.js';
@@ -17,6 +18,7 @@
 import { lateWrites } from './lateWrites.js';
 import { leaderAlone } from './leaderAlone.js';
 import { machineDeaf } from './machineDeaf.js';
+import { manySmall } from './manySmall.js';
 import { stateRefuses } from './stateRefuses.js';
 import { stateSlow } from './stateSlow.js';
 import { Shared, type Stage, type Trouble } from './stage.js';
@@ -37,6 +39,8 @@
   cancelNow,
   cancelInHandover,
   atLimit,
+  answerLost,
+  manySmall,
 };
 export type Meeting = keyof typeof TROUBLES;
 export const MEETINGS = Object.keys(TROUBLES) as Meeting[];
--- a/packages/lab/src/world/meetings/stage.ts
+++ b/packages/lab/src/world/meetings/stage.ts
@@ -38,6 +38,8 @@
   /** The cloud has answered the machine's delete. */
   isDeleted(machine: string): boolean;
   node(): string;
+  /** What the controllers that are up keep in memory. */
+  caches(): readonly { readonly jobs: number; readonly tail: number; readonly finals: number }[];
   crash(node: string, back: number): void;
   /** It stands still while its clocks run on. */
   freeze(node: string, lasts: number): void;
--- a/packages/lab/src/world/state.ts
+++ b/packages/lab/src/world/state.ts
@@ -9,7 +9,9 @@
   type Found,
   type Outcome,
   type StateFailure,
+  type Write,
 } from '@lilacvalve/controller/state-store/client';
+import { Parts, Priority } from '@lilacvalve/controller/state-store/budget';
 import type { StatePort } from '@lilacvalve/controller/state-store/port';
 import { micros } from '@lilacvalve/base/micros';
 import type { Links } from './links.js';
@@ -65,6 +67,24 @@
   readonly requests: number[] = [];
   /** This share of transactions gets no answer and is carried out 2 to 12 s later. */
   lateShare = 0;
+  /** Requests, and puts and deletes, a second for all controllers; null: as many as they like. */
+  limits: { readonly rps: number; readonly writeRps: number; readonly nodes: number } | null = null;
+  /** What is left of this second's worth. */
+  private readonly left = { at: 0, rps: 0, writeRps: 0 };
+  /** Every put and delete that was asked for: when. */
+  readonly written: number[] = [];
+  refusedAsTooMany = 0;
+  /** This share of transactions is carried out at once, and nothing is heard of it. */
+  unheardShare = 0;
+  /** Such a one was carried out. */
+  onUnheard: (
+    by: string,
+    when: readonly { readonly key: string; readonly stamp: number }[],
+    then: readonly Write[],
+    revision: number,
+  ) => void = () => undefined;
+  /** What a controller has read shows it the store up to this revision. */
+  onRead: (by: string, revision: number) => void = () => undefined;
   /** Until then answers come late, beyond the callers' time-outs and out of order; requests are carried out. */
   slowUntil = 0;
   /** A watch whose time is over while its controller is not served ends with no answer. */
@@ -226,8 +246,66 @@
     return { ok: true, revision: this.revision };
   }
 
-  /** The port one node has to the service. */
+  /** Whether the limits allow a request with so many puts and deletes. */
+  private allows(writes: number): boolean {
+    if (writes > 0) for (let n = 0; n < writes; n++) this.written.push(this.time.now);
+    if (this.limits === null) return true;
+    const { left, limits } = this;
+    const passed = (this.time.now - left.at) / 1e6;
+    left.at = this.time.now;
+    for (const k of ['rps', 'writeRps'] as const) left[k] = Math.min(limits[k], left[k] + passed * limits[k]);
+    if (left.rps >= 1 && left.writeRps >= writes) {
+      left.rps--;
+      left.writeRps -= writes;
+      return true;
+    }
+    this.refusedAsTooMany++;
+    return false;
+  }
+
+  /** The port one node has to the service: by its budgets, where the service has limits. */
   port(node: string): StatePort {
+    const { limits } = this;
+    const port = this.unlimited(node);
+    if (limits === null) return port;
+    const timing = {
+      now: this.time.micros,
+      after: (ms: number, go: () => void) => void this.time.after(ms * 1000, go),
+    };
+    const parts = new Parts(limits.nodes, limits, timing);
+    const call = <A>(priority: Priority, writes: number, ask: () => Effect.Effect<A, StateFailure>) =>
+      Effect.suspend(() => (writes > 0 ? parts.writes.take(priority, writes) : Effect.void)).pipe(
+        Effect.zipRight(parts.requests.take(priority, 1)),
+        Effect.zipRight(
+          Effect.suspend(() => {
+            if (this.allows(writes)) return ask();
+            parts.drain();
+            return Effect.fail(new Refused({ status: 429, reason: 'too many' }));
+          }),
+        ),
+      );
+    return new Proxy(port, {
+      get: (of, k) => {
+        const limited: Partial<StatePort> = {
+          leading: (yes) => parts.leading(yes),
+          writeWait: () => parts.writes.wait(),
+          transact: (when, then, priority, ms) =>
+            call(priority, then.length, () => of.transact(when, then, priority, ms)),
+          get: (key, ms) => call(Priority.Read, 0, () => of.get(key, ms)),
+          page: (prefix, after, limit, priority = Priority.Read) =>
+            call(priority, 0, () => of.page(prefix, after, limit, priority)),
+          follow: (prefix, after, ms) =>
+            call(ms === 0 ? Priority.Commit : Priority.Read, 0, () => of.follow(prefix, after, ms)),
+          grant: (ttl) => call(Priority.Lease, 0, () => of.grant(ttl)),
+          extend: (lease, ms) => call(Priority.Lease, 0, () => of.extend(lease, ms)),
+          release: (lease) => call(Priority.Lease, 0, () => of.release(lease)),
+        };
+        return limited[k as keyof StatePort] ?? Reflect.get(of, k);
+      },
+    });
+  }
+
+  private unlimited(node: string): StatePort {
     const port = { lastServed: Number.NEGATIVE_INFINITY, lastRefused: Number.NEGATIVE_INFINITY };
     /** Transactions that this process has sent, and the newest that was carried out. */
     let sent = 0;
@@ -343,21 +421,45 @@
           });
         });
       });
+    /** Carried out if it is served, and its answer lost. */
+    const unheard = (go: () => Outcome | StateFailure, limitMs: number): Effect.Effect<never, StateFailure> =>
+      Effect.suspend(() => {
+        const sent = this.time.now;
+        const served = port.lastServed;
+        return Effect.flatMap(call<Outcome>(go, limitMs), () => {
+          if (port.lastServed === this.time.now) port.lastServed = served;
+          return Effect.async<never, StateFailure>((resume) => {
+            this.time.after(sent + limitMs * 1000 - this.time.now, () => {
+              port.lastRefused = this.time.now;
+              resume(Effect.fail(new Lost({ reason: 'timeout' })));
+            });
+          });
+        });
+      });
     return Object.assign(port, {
       leading: () => undefined,
       writeWait: () => micros(0),
       transact: (when, then, _priority, limitMs) =>
-        call<Outcome>(
-          inOrder(() => {
+        Effect.suspend(() => {
+          const go = inOrder(() => {
             for (const w of then) {
               if ('set' in w && w.lease !== undefined && !this.leases.has(w.lease))
                 return new Refused({ status: 400, reason: 'no such lease' });
             }
             return this.transact([...when], JSON.parse(JSON.stringify(then)) as []);
-          }),
-          limitMs,
-          then.length === 0 ? '' : 'set' in then[0]! ? then[0].set : then[0]!.delete,
-        ),
+          });
+          if (this.unheardShare > 0 && this.luck.chance(this.unheardShare))
+            return unheard(() => {
+              const o = go();
+              if ('ok' in o && o.ok) this.onUnheard(node, when, then, o.revision);
+              return o;
+            }, limitMs);
+          return call<Outcome>(
+            go,
+            limitMs,
+            then.length === 0 ? '' : 'set' in then[0]! ? then[0].set : then[0]!.delete,
+          );
+        }),
       get: (key) =>
         call<Found>(() => {
           const copy = this.copy();
@@ -398,8 +500,10 @@
           }
           return { tooOld: false, revision: this.revision, changes };
         };
-        if (blockMs === 0) return call(look, 1500);
-        return call<Changes>(look, blockMs + 1500).pipe(
+        const read = (from: Effect.Effect<Changes, StateFailure>): Effect.Effect<Changes, StateFailure> =>
+          Effect.tap(from, (c) => Effect.sync(() => c.tooOld || this.onRead(node, c.revision)));
+        if (blockMs === 0) return read(call(look, 1500));
+        const held = call<Changes>(look, blockMs + 1500).pipe(
           Effect.flatMap((first) => {
             if (first.tooOld || first.changes.length > 0) return Effect.succeed(first);
             return Effect.async<Changes, StateFailure>((resume) => {
@@ -432,6 +536,7 @@
             });
           }),
         );
+        return read(held);
       },
       grant: (ttl) =>
         call(() => {
--- a/packages/lab/src/world/world.ts
+++ b/packages/lab/src/world/world.ts
@@ -278,6 +278,7 @@
     this.luck = new Luck(seed);
     this.links = new Links(this.time, this.luck);
     this.state = new StateService(this.time, this.luck, this.links);
+    if (troubles.manySmall) this.state.limits = { rps: 100, writeRps: 25, nodes: size.nodes.length };
     this.count = new Count(
       (id) => {
         const j = this.jobs.get(id);
@@ -352,6 +353,12 @@
       ],
       isDeleted: (machine) => this.hired.get(machine)?.deleted === true,
       node: () => this.node(),
+      caches: () =>
+        this.up().map(({ node: { cache } }) => ({
+          jobs: cache.jobs.size,
+          tail: cache.tail.size,
+          finals: cache.finals.size,
+        })),
       crash: (node, back) => this.crash(node, back),
       freeze: (node, lasts) => {
         this.troubled(lasts);
