A hold starts nothing once its view is older than 3 s

Cause: a leader that the state service refuses alone, and then everybody with it, goes on repeating durable starts by the view it has, for up to cancel_s - lease_s. Such tasks were stopped in time; but the protocol says that none may be started from the word on.

mayStart (leadership/hold.ts): by an own right, or while the others know of nothing later than the view. In a plain outage in which all others answer, nothing changes.

The stand-ins of leadership in three tests learn mayStart, with starts allowed as before.

--- a/packages/controller/src/leadership/hold.ts
+++ b/packages/controller/src/leadership/hold.ts
@@ -51,6 +51,16 @@
   readonly knownAsOf: number;
 }
 
+/** Under a hold, a view may lack what others have confirmed for so long at the most where an answer starts something. */
+const STARTS_BY_VIEW = seconds(3);
+
+/**
+ * Whether an answer may hold starts: by an own right, or while the others know of nothing later than this view. Else a hold
+ * would start, until it ends, what users were told is cancelled: stopped in time, but started after the word.
+ */
+export const mayStart = (at: Micros, s: Pick<Standing, 'rightUntil' | 'knownAsOf'>): boolean =>
+  at < s.rightUntil || at < s.knownAsOf + STARTS_BY_VIEW;
+
 /** Until when a hold, or any answer by an old view, is safe. */
 export const holdEnds = (s: Pick<Standing, 'knownAsOf'>, w: Workers): number => s.knownAsOf + mayLag(w);
 
--- a/packages/controller/src/leadership/leadership.ts
+++ b/packages/controller/src/leadership/leadership.ts
@@ -15,7 +15,7 @@
 import { CALM, FOUNDED, INCARNATION, LEADER, LIFE, REBUILD, SETTLED, TERM } from '../jobs/keys.js';
 import type { StateFailure, Write } from '../state-store/client.js';
 import type { Contacts } from './contacts.js';
-import { holdEnds, mayAnswer, mayLag } from './hold.js';
+import { holdEnds, mayAnswer, mayLag, mayStart } from './hold.js';
 import type { Peers } from './peers.js';
 import type { Settings } from '../settings/settings.js';
 import { Priority } from '../state-store/budget.js';
@@ -108,6 +108,12 @@
     return may(this.peers.confirmedUntil(reign.term), this.knownAsOf()) ? reign : null;
   }
 
+  /** Whether an answer to a report may hold starts. */
+  mayStart(): boolean {
+    if (this.acting() !== null) return true;
+    return mayStart(this.clock(), { rightUntil: Number.NEGATIVE_INFINITY, knownAsOf: this.knownAsOf() });
+  }
+
   /** The reign is not over, though it may be without right for the moment. */
   reigning(term: number): boolean {
     return this.reign?.term === term;
--- a/packages/controller/src/workers/book.ts
+++ b/packages/controller/src/workers/book.ts
@@ -419,8 +419,8 @@
     return out;
   }
 
-  /** What the answer to the machine's latest report should say. */
-  orders(m: Machine): Order[] {
+  /** What the answer to the machine's latest report should say; without `starts`, what is to begin waits for a later one. */
+  orders(m: Machine, starts = true): Order[] {
     const on = this.cache.byMachine.get(m.id);
     const orders: Order[] = [];
     for (const t of m.tasks.values()) {
@@ -446,6 +446,7 @@
     const told: string[] = [];
     for (const [key, p] of on ?? []) {
       if (
+        !starts ||
         !m.conclusive ||
         m.tasks.has(key) ||
         m.seen.get(key) === p.attempt ||
--- a/packages/controller/src/workers/duty.ts
+++ b/packages/controller/src/workers/duty.ts
@@ -178,12 +178,13 @@
     const finish = (): void => {
       const still = leadership.answering();
       if (still === null || still.term !== reign.term) return answer(null);
+      const starts = leadership.mayStart();
       const bodies = reports.map((r, i) => {
         const m = machines[i]!;
         if (r === null) return null;
         // Older than what is known by now: this answer must not carry what belongs to a newer report's.
         if (m === null || m.tick !== r.tick || m.tenure !== r.tenure) return '';
-        const orders = book.orders(m);
+        const orders = book.orders(m, starts);
         return orders.length === 0 ? '' : writeOrders(reign.term, orders);
       });
       answer({ term: reign.term, bodies });
--- a/packages/controller/test/book.test.ts
+++ b/packages/controller/test/book.test.ts
@@ -108,7 +108,13 @@
   let at = 0;
   let active = true;
   const reign = { term: 5, stamp: 1, began: 0 as Micros };
-  const leadership = { answering: () => reign, acting: () => null, depose: () => undefined };
+  let starts = true;
+  const leadership = {
+    answering: () => reign,
+    acting: () => null,
+    depose: () => undefined,
+    mayStart: () => starts,
+  };
   const receive = receiver(
     leadership as unknown as Leadership,
     () => ({ book, nextTurn: () => undefined }),
@@ -139,6 +145,18 @@
   receive([said(5, 1, 1, { status: 'running' })], (a) =>
     assert.match(a!.bodies[0]!, /"stop".*"job-1\/0"/, 'stopped in doubt too'),
   );
+  // A hold started what others had told users is cancelled, for as long as it lasted.
+  active = false;
+  book = placed(5);
+  const told = (tick: number): string => {
+    let body = '';
+    receive([said(5, 1, tick, null)], (a) => (body = a!.bodies[0]!));
+    return body;
+  };
+  starts = false;
+  assert.equal(told(2), '');
+  starts = true;
+  assert.match(told(3), /"run".*"job-1\/0"/);
 });
 
 // A machine that reported, and that answers did not reach, held its job's place for as long as it went on.
--- a/packages/controller/test/hold.test.ts
+++ b/packages/controller/test/hold.test.ts
@@ -5,7 +5,7 @@
 import type { Doubt } from '../src/doubt/doubt.js';
 import { JobCache } from '../src/jobs/cache.js';
 import { Feed } from '../src/jobs/feed.js';
-import { holdEnds, mayAnswer, mayLag, nothingAfter, type Said } from '../src/leadership/hold.js';
+import { holdEnds, mayAnswer, mayLag, mayStart, nothingAfter, type Said } from '../src/leadership/hold.js';
 import type { StatePort } from '../src/state-store/port.js';
 import { Luck } from './support/luck.js';
 
@@ -124,6 +124,15 @@
     assert.ok((met.get(what) ?? 0) > 100, `${what}: ${met.get(what)}`);
 });
 
+test('a hold starts nothing once its view is old, and a right does', () => {
+  const known = seconds(100);
+  const out = Number.NEGATIVE_INFINITY;
+  const may = (at: number, rightUntil: number): boolean =>
+    mayStart(seconds(at), { rightUntil, knownAsOf: known });
+  assert.deepEqual([may(102.9, out), may(103, out), may(110, out)], [true, false, false]);
+  assert.equal(may(110, seconds(111)), true);
+});
+
 test('what this node wrote counts as known right after its view, and no more once that is left', () => {
   const cache = new JobCache();
   cache.revision = 4;
--- a/packages/controller/test/meetings.test.ts
+++ b/packages/controller/test/meetings.test.ts
@@ -64,6 +64,7 @@
     const reign = { term, stamp: 0, began };
     const leadership = {
       answering: () => (this.over ? null : reign),
+      mayStart: () => true,
       acting: () => (this.acting() ? reign : null),
       depose: (token: number) => void (token > term && (this.over = true)),
     } as unknown as Leadership;
--- a/packages/controller/test/reports.test.ts
+++ b/packages/controller/test/reports.test.ts
@@ -79,7 +79,12 @@
   const book = new Book(settings, cache, 3, 0 as Micros);
   book.removed('vm-2');
   const reign = { term: 3, stamp: 1, began: 0 as Micros };
-  const leadership = { answering: () => reign, acting: () => null, depose: () => undefined };
+  const leadership = {
+    answering: () => reign,
+    acting: () => null,
+    depose: () => undefined,
+    mayStart: () => true,
+  };
   const receive = receiver(
     leadership as unknown as Leadership,
     () => ({ book, nextTurn: () => undefined }),
--- a/packages/lab/src/world/meetings/index.ts
+++ b/packages/lab/src/world/meetings/index.ts
@@ -97,6 +97,9 @@
   completed(task: string): void {
     for (const t of this.all) t.completed?.(task);
   }
+  ordered(task: string): void {
+    for (const t of this.all) t.ordered?.(task);
+  }
   started(task: string): void {
     for (const t of this.all) t.started?.(task);
   }
--- a/packages/lab/src/world/meetings/stage.ts
+++ b/packages/lab/src/world/meetings/stage.ts
@@ -32,7 +32,9 @@
   heardFrom(machine: string): boolean;
   /** What the acting leader counts against the team's limit: the attempt of each task; null: nobody acts. */
   counted(team: string): ReadonlyMap<string, number> | null;
-  /** What it has placed on the machine. */
+  /** By its view, the controller has a task of the job placed. */
+  places(node: string, job: string): boolean;
+  /** What the acting leader has placed on the machine. */
   placedOn(machine: string): readonly string[];
   /** The cloud has answered the machine's delete. */
   isDeleted(machine: string): boolean;
@@ -58,6 +60,8 @@
   heard?(node: string): void;
   /** A task has completed. */
   completed?(task: string): void;
+  /** A machine has executed the order to start a task. */
+  ordered?(task: string): void;
   /** A task has its image and is on its machine. */
   started?(task: string): void;
   /** A machine was told to forget a task. */
--- a/packages/lab/src/world/rules.ts
+++ b/packages/lab/src/world/rules.ts
@@ -72,6 +72,8 @@
 
   /** A task has completed. */
   onComplete: (task: string) => void = () => undefined;
+  /** A machine has executed the order to start a task. */
+  onOrdered: (task: string) => void = () => undefined;
   /** A task is on a machine from here. */
   onStart: (task: string) => void = () => undefined;
 
@@ -162,6 +164,7 @@
 
   /** A worker is told to run it: no attempt is ever used twice, whatever has been forgotten. */
   ordered(task: string, attempt: number, machine: string): void {
+    this.onOrdered(task);
     const key = `${task}#${attempt}`;
     const first = this.attempts.get(key);
     if (first !== undefined && first !== machine)
--- a/packages/lab/src/world/world.ts
+++ b/packages/lab/src/world/world.ts
@@ -289,6 +289,7 @@
     this.meetings =
       troubles.meetings || MEETINGS.some((m) => troubles[m]) ? new Meetings(this.stage()) : null;
     this.rules.onComplete = (task) => this.meetings?.completed(task);
+    this.rules.onOrdered = (task) => this.meetings?.ordered(task);
     this.rules.onStart = (task) => this.meetings?.started(task);
     this.time.onStep = () => this.rules.check(this.time.now);
     for (const n of this.nodes) this.boot(n);
@@ -324,6 +325,7 @@
           ?.node.book()
           ?.machines.get(machine)?.reported === true,
       counted: (team) => this.counted(team),
+      places: (node, job) => (this.live.get(node)?.node.cache.jobs.get(job)?.placed.size ?? 0) > 0,
       placedOn: (machine) => [
         ...(this.live
           .get(this.leader() ?? '')
--- a/packages/lab/test/meetings.test.ts
+++ b/packages/lab/test/meetings.test.ts
@@ -28,7 +28,11 @@
     { heldMachine: true },
     ['held within the lease', 'held beyond the lease'],
   ],
-  ['the leader refused, then all, and users cancel between', { gap: true }, ['cancelled beside a hold']],
+  [
+    'the leader refused, then all, and users cancel between',
+    { gap: true },
+    ['cancelled beside a hold', 'cancelled beside a hold that has its start still to send'],
+  ],
   [
     'slow, and refusing one',
     { stateSlow: true, stateRefuses: true },
