--- a/packages/lab/src/world/meetings/index.ts
+++ b/packages/lab/src/world/meetings/index.ts
@@ -112,6 +112,9 @@
   committed(key: string, value: string | undefined): void {
     for (const t of this.all) t.committed?.(key, value);
   }
+  ordered(task: string): void {
+    for (const t of this.all) t.ordered?.(task);
+  }
   started(task: string): void {
     for (const t of this.all) t.started?.(task);
   }
--- a/packages/lab/src/world/meetings/stage.ts
+++ b/packages/lab/src/world/meetings/stage.ts
@@ -33,7 +33,9 @@
   heardFrom(machine: string): boolean;
   /** What the acting leader counts against the team's limit: the attempt of each task; null: nobody acts. */
   counted(team: string): ReadonlyMap<string, number> | null;
-  /** What it has placed on the machine. */
+  /** By its view, the controller has a task of the job placed. */
+  places(node: string, job: string): boolean;
+  /** What the acting leader has placed on the machine. */
   placedOn(machine: string): readonly string[];
   /** The cloud has answered the machine's delete. */
   isDeleted(machine: string): boolean;
@@ -67,6 +69,8 @@
   answered?(asked: Asked, answer: Answered | null): void;
   /** The state service has this now; undefined: the key is deleted. */
   committed?(key: string, value: string | undefined): void;
+  /** A machine has executed the order to start a task. */
+  ordered?(task: string): void;
   /** A task has its image and is on its machine. */
   started?(task: string): void;
   /** A machine was told to forget a task. */
