Lab: new machines within two seconds, and machines that reach no controller

The cloud's stand-in boots machines in two seconds, answers rentals late or never and carries some out late; machines go mute or come up so, while direct orders reach them.

--- a/packages/lab/src/world/meetings/index.ts
+++ b/packages/lab/src/world/meetings/index.ts
@@ -9,6 +9,7 @@
 import { atLimit } from './atLimit.js';
 import { cancelInHandover } from './cancelInHandover.js';
 import { cancelNow } from './cancelNow.js';
+import { fastBoots } from './fastBoots.js';
 import { farEnds } from './farEnds.js';
 import { gap } from './gap.js';
 import { handover } from './handover.js';
@@ -17,9 +18,10 @@
 import { lateWrites } from './lateWrites.js';
 import { leaderAlone } from './leaderAlone.js';
 import { machineDeaf } from './machineDeaf.js';
+import { machineMute } from './machineMute.js';
 import { stateRefuses } from './stateRefuses.js';
 import { stateSlow } from './stateSlow.js';
-import { Shared, type Stage, type Trouble } from './stage.js';
+import { type HireWay, Shared, type Stage, type Trouble } from './stage.js';
 
 const TROUBLES = {
   lateWrites,
@@ -37,6 +39,8 @@
   cancelNow,
   cancelInHandover,
   atLimit,
+  fastBoots,
+  machineMute,
 };
 export type Meeting = keyof typeof TROUBLES;
 export const MEETINGS = Object.keys(TROUBLES) as Meeting[];
@@ -99,6 +103,31 @@
   heard(node: string): void {
     for (const t of this.all) t.heard?.(node);
   }
+  stoppedDirectly(by: Worker, task: string): void {
+    for (const t of this.all) t.stoppedDirectly?.(by, task);
+  }
+  started(task: string, machine: string): void {
+    for (const t of this.all) t.started?.(task, machine);
+  }
+  hires(): HireWay | null {
+    for (const t of this.all) {
+      const way = t.hires?.() ?? null;
+      if (way !== null) return way;
+    }
+    return null;
+  }
+  rented(machine: string, how: HireWay): void {
+    for (const t of this.all) t.rented?.(machine, how);
+  }
+  listed(machines: readonly string[]): void {
+    for (const t of this.all) t.listed?.(machines);
+  }
+  came(machine: Worker): void {
+    for (const t of this.all) t.came?.(machine);
+  }
+  deleted(machine: Worker | undefined, id: string): void {
+    for (const t of this.all) t.deleted?.(machine, id);
+  }
   completed(task: string): void {
     for (const t of this.all) t.completed?.(task);
   }
@@ -108,9 +137,6 @@
   committed(key: string, value: string | undefined): void {
     for (const t of this.all) t.committed?.(key, value);
   }
-  started(task: string): void {
-    for (const t of this.all) t.started?.(task);
-  }
   reaped(task: string, done: boolean): void {
     for (const t of this.all) t.reaped?.(task, done);
   }
--- /dev/null
+++ b/packages/lab/src/world/meetings/machineMute.ts
@@ -0,0 +1,62 @@
+import type { Worker } from '../worker.js';
+import type { Shared, Trouble } from './stage.js';
+
+/** Machines reach no controller, while direct orders reach them; some come up so. Users cancel what runs there. */
+export const machineMute = (m: Shared): Trouble => {
+  const { w } = m;
+  const l = w.luck;
+  /** By task that was on a mute machine: which, and in which session. */
+  const held = new Map<string, { readonly on: Worker; readonly tenure: number }>();
+  const bornMute = new Set<Worker>();
+
+  return {
+    begin: () => {
+      const ids = m.longJobs(6);
+      w.troubled(25e6);
+      m.at(l.between(18e6, 25e6), () => {
+        const share = l.between(0.2, 0.7);
+        const mute = [...w.workers.values()].filter((x) => x.alive && !x.mute && l.chance(share));
+        if (mute.length === 0) return;
+        w.strike('machineMute');
+        const lasts = l.chance(0.3) ? w.lease * l.between(0.3, 0.95) : l.between(2 * w.lease, 130e6);
+        w.troubled(lasts);
+        if (l.chance(0.5)) w.cloud.muteUntil = w.time.now + lasts;
+        for (const x of mute) {
+          x.mute = true;
+          m.at(lasts, () => (x.mute = false));
+          for (const task of x.held()) held.set(task, { on: x, tenure: x.tenure });
+        }
+        // Half of them: the rest is neither counted on nor lost.
+        const there = ids.filter((id) => [...held.keys()].some((task) => task.startsWith(`${id}/`)));
+        for (const id of there.filter(() => l.chance(0.5))) {
+          const by = () => w.node();
+          m.at(l.between(200_000, 6e6), () => w.cancel(id, by, () => undefined));
+        }
+        const leader = w.leader();
+        if (leader !== undefined && l.chance(0.3)) m.at(l.between(4e6, 12e6), () => m.change(leader));
+      });
+    },
+    came: (x) => {
+      const left = w.cloud.muteUntil - w.time.now;
+      if (left <= 0 || !l.chance(0.5)) return;
+      x.mute = true;
+      bornMute.add(x);
+      m.at(left, () => (x.mute = false));
+    },
+    stoppedDirectly: (by, task) => {
+      if (by.mute && w.rules.cancelAsked(task.slice(0, task.indexOf('/'))))
+        m.meet('cancelled and stopped directly on a mute machine');
+    },
+    started: (task, machine) => {
+      const before = held.get(task);
+      if (before === undefined || before.on.place.id === machine) return;
+      held.delete(task);
+      if (!before.on.alive) m.meet('started again after the machine was deleted');
+      else if (before.on.tenure > before.tenure) m.meet('started again elsewhere after the lease');
+    },
+    deleted: (x) => {
+      if (x?.mute !== true) return;
+      m.meet(bornMute.has(x) ? 'a machine that came up mute was returned' : 'a mute machine was returned');
+    },
+  };
+};
--- a/packages/lab/src/world/meetings/stage.ts
+++ b/packages/lab/src/world/meetings/stage.ts
@@ -9,7 +9,21 @@
 import type { Meeting } from './index.js';
 
 /** What of the world they need. */
+/** How machines come, as long as a trouble says so. */
+export interface CloudWays {
+  /** Up within two seconds until then. */
+  fastUntil: number;
+  /** Up, and reaching no controller, until then. */
+  muteUntil: number;
+}
+/** A request to rent: carried out so late, and answered so long after that, or never (null). */
+export interface HireWay {
+  readonly late: number;
+  readonly answer: number | null;
+}
+
 export interface Stage {
+  readonly cloud: CloudWays;
   readonly time: Time;
   readonly luck: Luck;
   readonly state: StateService;
@@ -59,14 +73,26 @@
   wentOn?(lapsed: boolean): void;
   /** A controller gets a worker's report. */
   heard?(node: string): void;
+  /** An order to its address has stopped a task of a machine. */
+  stoppedDirectly?(by: Worker, task: string): void;
+  /** A task has its image and is on a machine. */
+  started?(task: string, machine: string): void;
+  /** A request to rent is on its way to the cloud; null: as usual. */
+  hires?(): HireWay | null;
+  /** A machine was rented in this way. */
+  rented?(machine: string, how: HireWay): void;
+  /** A controller is given a list with these machines. */
+  listed?(machines: readonly string[]): void;
+  /** A worker has begun. */
+  came?(machine: Worker): void;
+  /** A machine is deleted. */
+  deleted?(machine: Worker | undefined, id: string): void;
   /** A task has completed. */
   completed?(task: string): void;
   /** An answer to a user's request, or none in time. Not on days on which the state service loses data. */
   answered?(asked: Asked, answer: Answered | null): void;
   /** The state service has this now; undefined: the key is deleted. */
   committed?(key: string, value: string | undefined): void;
-  /** A task has its image and is on its machine. */
-  started?(task: string): void;
   /** A machine was told to forget a task. */
   reaped?(task: string, done: boolean): void;
 }
--- a/packages/lab/src/world/rules.ts
+++ b/packages/lab/src/world/rules.ts
@@ -77,10 +77,10 @@
   /** When the last one was. */
   startedAt = 0;
 
+  /** A task has its image and is on a machine. */
+  onStart: (task: string, machine: string) => void = () => undefined;
   /** A task has completed. */
   onComplete: (task: string) => void = () => undefined;
-  /** A task is on a machine from here. */
-  onStart: (task: string) => void = () => undefined;
 
   constructor(
     private readonly cancelWithin: number,
@@ -135,7 +135,7 @@
     }
     there.set(m.id, m);
     this.on.set(task, there);
-    this.onStart(task);
+    this.onStart(task, m.id);
     this.check(now);
     if (s) {
       const limit = this.limits[s.team];
--- a/packages/lab/src/world/worker.ts
+++ b/packages/lab/src/world/worker.ts
@@ -45,6 +45,8 @@
   holds(by: Worker): number;
   /** A machine has gone on. */
   wentOn(lapsed: boolean): void;
+  /** An order to its address has stopped a task. */
+  stoppedDirectly(by: Worker, task: string): void;
   /** An ended task is forgotten by its machine; `done`: it had completed. */
   reaped(task: string, done: boolean): void;
   handle(node: string, r: Incoming): Effect.Effect<Answer> | null;
@@ -86,6 +88,8 @@
   hanging = false;
   /** What is sent to it is lost. */
   deaf = false;
+  /** It reaches no controller, while direct orders reach it. */
+  mute = false;
   private node = 0;
   private readonly images = new Set<string>();
   /** Images on their way, and when they are there. */
@@ -165,7 +169,8 @@
 
   /** What is free here, fetching tasks counted; null: nothing can run here, or the machine is about to be taken. */
   spare(): Amounts | null {
-    if (!this.alive || this.hanging || this.deaf || this.faulty || this.recallAt !== null) return null;
+    if (!this.alive || this.hanging || this.deaf || this.mute || this.faulty || this.recallAt !== null)
+      return null;
     let { cpus, gpus, memGb } = this.room;
     for (const t of this.held()) {
       const job = this.world.jobs.get(t.slice(0, t.indexOf('/')))!;
@@ -285,6 +290,7 @@
     const { links } = this.net;
     this.net.echo(this.place.id, () => this.deliver(node, body, () => undefined));
     this.net.reported(this, node, body);
+    if (this.mute) return void this.time.after(1000, () => finish(null));
     links.send(
       zone,
       node,
@@ -373,17 +379,20 @@
       return;
     this.token = v.warrant;
     const before = this.signature();
-    this.execute(v.orders);
+    this.execute(v.orders, true);
     this.tick++;
     if (before !== this.signature()) this.changed();
   }
 
-  private execute(orders: Order[]): void {
+  private execute(orders: Order[], direct = false): void {
     for (const o of orders) {
       const t = this.tasks.get(o.piece);
       if (o.orderKind === 'run') this.begin(o.piece, o.try);
       else if (o.orderKind === 'stop') {
-        if (t && t.attempt === o.try && t.status !== 'ended') this.halt(t, (o.windDownS ?? 0) * 1e6);
+        if (t && t.attempt === o.try && t.status !== 'ended') {
+          if (direct) this.net.stoppedDirectly(this, o.piece);
+          this.halt(t, (o.windDownS ?? 0) * 1e6);
+        }
       } else if (t && t.attempt === o.try && t.status === 'ended') {
         this.tasks.delete(o.piece);
         this.net.reaped(o.piece, t.cause === 'done');
--- a/packages/lab/src/world/world.ts
+++ b/packages/lab/src/world/world.ts
@@ -16,6 +16,7 @@
 import { Begun, type LeastRow } from './begun.js';
 import { type Arrival, crowdArrival } from './crowd.js';
 import { beyondGaps, Count, differences, type Held, pagesWrong, sumsOf } from './count.js';
+import { Charged } from './charged.js';
 import { calendarOf, Cutoffs } from './cutoffs.js';
 import { coming, LENDING_TEAMS, Loans, Serving, type Step } from './lending.js';
 import { Links, type LinkState } from './links.js';
@@ -238,6 +239,8 @@
   readonly meetings: Meetings | null;
   readonly loans: Loans | null;
   readonly serving = new Serving();
+  readonly charged = new Charged((what) => this.rules.broken.push(what));
+  private readonly cloudWays = { fastUntil: 0, muteUntil: 0 };
   readonly waiting = new Waiting((what) => this.rules.broken.push(what));
   private troubledUntil = 0;
   readonly lossAt: number[] = [];
@@ -308,8 +311,8 @@
     if (this.loans) this.state.onCommit = (key, value, stamp) => this.loans!.committed(key, value, stamp);
     this.meetings =
       troubles.meetings || MEETINGS.some((m) => troubles[m]) ? new Meetings(this.stage()) : null;
+    this.rules.onStart = (task, machine) => this.meetings?.started(task, machine);
     this.rules.onComplete = (task) => this.meetings?.completed(task);
-    this.rules.onStart = (task) => this.meetings?.started(task);
     this.time.onStep = () => this.rules.check(this.time.now);
     for (const n of this.nodes) this.boot(n);
     if ((troubles.losses?.length ?? 0) > 0) this.watch();
@@ -319,6 +322,7 @@
   private stage(): ConstructorParameters<typeof Meetings>[0] {
     const { workers } = this.settings('n0');
     return {
+      cloud: this.cloudWays,
       time: this.time,
       luck: this.luck,
       state: this.state,
@@ -548,6 +552,9 @@
   wentOn(lapsed: boolean): void {
     this.meetings?.wentOn(lapsed);
   }
+  stoppedDirectly(by: Worker, task: string): void {
+    this.meetings?.stoppedDirectly(by, task);
+  }
   reaped(task: string, done: boolean): void {
     this.meetings?.reaped(task, done);
   }
@@ -593,21 +600,21 @@
       list: () =>
         call(() => {
           const asOf = this.time.now - this.luck.between(0, this.troubles.oldLists ? 20e6 : 8e6);
-          return [...this.hired.values()]
-            .filter((h) => !h.deleted && h.at <= asOf)
-            .map((h) => ({
-              id: h.id,
-              addr: h.id,
-              type: h.type.name,
-              zone: h.zone,
-              spot: h.spot,
-              status: h.status,
-              age: micros(asOf - h.at),
-            }));
+          const there = [...this.hired.values()].filter((h) => !h.deleted && h.at <= asOf);
+          this.meetings?.listed(there.map((h) => h.id));
+          return there.map((h) => ({
+            id: h.id,
+            addr: h.id,
+            type: h.type.name,
+            zone: h.zone,
+            spot: h.spot,
+            status: h.status,
+            age: micros(asOf - h.at),
+          }));
         }),
-      hire: (h, still) =>
-        call(() => {
-          if (!still()) return new CloudRefused({ status: 0, reason: 'no longer entitled' });
+      hire: (h, still) => {
+        const way = this.meetings?.hires() ?? null;
+        const act = (): readonly string[] | null => {
           this.rules.hired(h.name, `${h.type} ${h.zone} ${h.spot} ${h.count}`);
           const old = this.hires.get(h.name);
           if (old) return old;
@@ -616,6 +623,10 @@
           ).length;
           const n = Math.min(h.count, 6 - have);
           if (n <= 0) return null;
+          if (this.paysAttention() && (way?.late ?? 0) === 0) {
+            this.lookForWaiting();
+            this.charged.rented(this.time.now, n);
+          }
           const ids: string[] = [];
           for (let i = 0; i < n; i++)
             ids.push(
@@ -626,8 +637,23 @@
               ),
             );
           this.hires.set(h.name, ids);
+          if (way !== null) for (const id of ids) this.meetings?.rented(id, way);
           return ids;
-        }),
+        };
+        const entitled = <A>(go: () => A): A | CloudRefused =>
+          still() ? go() : new CloudRefused({ status: 0, reason: 'no longer entitled' });
+        if (way === null) return call(() => entitled(act));
+        // It is sent, and what becomes of it is told late or never: the client waits for 4 s.
+        return Effect.async<readonly string[] | null, CloudRefused | NoAnswer>((resume) => {
+          const refusal = entitled(() => null);
+          if (refusal !== null) return resume(Effect.fail(refusal));
+          this.time.after(4e6, () => resume(Effect.fail(new NoAnswer({ reason: 'timeout' }))));
+          this.time.after(this.luck.between(50_000, 200_000) + way.late, () => {
+            const ids = act();
+            if (way.answer !== null) this.time.after(way.answer, () => resume(Effect.succeed(ids)));
+          });
+        });
+      },
       remove: (ids, still) =>
         call(() => {
           if (!still()) return new CloudRefused({ status: 0, reason: 'no longer entitled' });
@@ -644,25 +670,25 @@
     if (trouble) this.strike('lateBoots');
     if (this.luck.chance(trouble ? 0.25 : 0.03)) return id;
     const times = trouble ? this.luck.between(3, 8) : this.luck.between(0.1, 1.5);
-    this.time.after(type.boot * times, () => {
+    const fast = this.time.now < this.cloudWays.fastUntil && this.luck.chance(0.6);
+    this.time.after(fast ? this.luck.between(50_000, 2e6) : type.boot * times, () => {
       if (h.deleted) return;
       h.status = 'running';
       const s = this.settings('n0').workers;
-      this.workers.set(
-        id,
-        new Worker(
-          { id, type: type.name, zone, spot },
-          type,
-          this.time,
-          this.luck,
-          this,
-          this.rules,
-          this,
-          s,
-          this.troubles.faultyMachines === true && this.luck.chance(0.15) && this.strike('faultyMachines'),
-          (tasks) => (this.killed += tasks),
-        ),
+      const w = new Worker(
+        { id, type: type.name, zone, spot },
+        type,
+        this.time,
+        this.luck,
+        this,
+        this.rules,
+        this,
+        s,
+        this.troubles.faultyMachines === true && this.luck.chance(0.15) && this.strike('faultyMachines'),
+        (tasks) => (this.killed += tasks),
       );
+      this.workers.set(id, w);
+      this.meetings?.came(w);
     });
     return id;
   }
@@ -673,6 +699,7 @@
       if (deleted) h.deleted = true;
       else this.time.after(30e6, () => (h.status = 'failed'));
     }
+    if (deleted && h) this.meetings?.deleted(this.workers.get(id), id);
     this.workers.get(id)?.die();
     this.workers.delete(id);
   }
@@ -1128,6 +1155,7 @@
       this.judge();
       // Long enough for a job that nobody answers for to show.
       if (meetings && at < this.rules.calmAt + 90e6) continue;
+      if (this.paysAttention() && this.charged.open) continue;
       if (at > troubled + 60e6 && this.unfinished().length === 0) break;
     }
     if (this.diedIn === 0) this.rules.broken.push(...this.accountsWrong());
@@ -1155,7 +1183,9 @@
   /** Once the troubles are over: who waits although there is room. */
   private lookForWaiting(): void {
     const { now } = this.time;
-    if (now < this.rules.calmAt) return this.waiting.troubled();
+    const calm = now >= this.rules.calmAt;
+    if (!calm) this.waiting.troubled();
+    if (!calm && !this.paysAttention()) return;
     const on = new Map<string, Map<string, { readonly zone: string }>>();
     const used = new Map<string, Amounts>();
     const rooms: RoomOn[] = [];
@@ -1171,18 +1201,55 @@
       }
       if (w.spare !== null) rooms.push({ machine: place.id, ...place, free: w.spare });
     }
-    const wanted = [...this.jobs.values()]
-      .filter((j) => this.rules.state(j.id) === 'accepted' && !this.rules.cancelAsked(j.id) && !j.broken)
-      .filter((j) => this.remembered(j.id))
-      .map((j): Wanted => {
+    const wants = (jobs: readonly JobTruth[]): Wanted[] =>
+      jobs.map((j): Wanted => {
         const tasks = on.get(j.id) ?? new Map<string, { readonly zone: string }>();
         let waiting = 0;
         for (let i = 0; i < j.tasks; i++) if (!j.finished.has(i) && !tasks.has(`${j.id}/${i}`)) waiting++;
         const need = amounts(j.cpus, j.gpus, TASK_MEM_GB);
         return { spec: j, shape: j.shape, waiting, on: tasks, need };
       });
+    const all = [...this.jobs.values()];
+    if (this.paysAttention()) {
+      // A controller may know of a job before its user does, and of a cancellation after.
+      const known = all.filter((j) => ['accepted', undefined].includes(this.rules.state(j.id)));
+      this.lookAtCharges(wants(known), rooms);
+    }
+    if (!calm) return;
+    const wanted = all
+      .filter((j) => this.rules.state(j.id) === 'accepted' && !this.rules.cancelAsked(j.id) && !j.broken)
+      .filter((j) => this.remembered(j.id));
     const limits = new Map(Object.entries(this.limits).map(([team, l]) => [team, [l.cpus, l.gpus] as const]));
-    this.waiting.look(now, wanted, rooms, used, limits);
+    this.waiting.look(now, wants(wanted), rooms, used, limits);
+  }
+
+  /** What is paid for is looked at on days whose troubles are about that. */
+  private paysAttention(): boolean {
+    return this.troubles.fastBoots === true || this.troubles.machineMute === true;
+  }
+
+  private lookAtCharges(wanted: readonly Wanted[], rooms: readonly RoomOn[]): void {
+    const { now } = this.time;
+    const paid = [...this.hired.values()].filter((h) => !h.deleted && h.status !== 'failed');
+    const booting = paid
+      .filter((h) => h.status === 'booting' && now - h.at < 1.5 * h.type.boot)
+      .map(({ id, type, zone, spot }): RoomOn => {
+        const free = amounts(type.cpus, type.gpus, type.memGb);
+        return { machine: id, type: type.name, zone, spot, free };
+      });
+    this.charged.look(
+      now,
+      this.rules.calmAt,
+      paid.map((h) => ({
+        id: h.id,
+        rentedAt: h.at,
+        boot: h.type.boot,
+        up: h.status === 'running',
+        used: (this.workers.get(h.id)?.held().length ?? 0) > 0,
+      })),
+      wanted,
+      [...rooms, ...booting],
+    );
   }
 
   private upWorkers() {
--- a/packages/lab/test/checks.test.ts
+++ b/packages/lab/test/checks.test.ts
@@ -9,6 +9,7 @@
 import { type DayResult, faultsOf } from '../src/play.js';
 import { Begun } from '../src/world/begun.js';
 import { LENDING_TEAMS, Loans } from '../src/world/lending.js';
+import { Charged } from '../src/world/charged.js';
 import { Links } from '../src/world/links.js';
 import { Memory } from '../src/world/memory.js';
 import { Rules, type Spec } from '../src/world/rules.js';
@@ -408,3 +409,35 @@
     wants({ tasks: 9 }, 'array', s < 50 ? { 'job-1/0': 'a', 'job-1/1': 'a' } : { 'job-1/0': 'a' });
   assert.equal(play(110, (s) => ({ job: ending(s) })).length, 1);
 });
+
+test('a machine charged unused, and one rented for what has had room for seconds, are seen, and no other', () => {
+  const play = (look: (c: Charged, s: number) => void, seconds: number): string[] => {
+    const broken: string[] = [];
+    const charged = new Charged((what) => broken.push(what));
+    for (let s = 0; s < seconds; s++) look(charged, s);
+    return broken;
+  };
+  const paid = (over = {}) => ({ id: 'm1', rentedAt: 0, boot: 10e6, up: true, used: false, ...over });
+  const unused =
+    (over = {}, wanted: Wanted[] = [], calmAt = 0) =>
+    (c: Charged, s: number) =>
+      c.look(s * 1e6, calmAt, [paid(over)], wanted, []);
+  assert.deepEqual(play(unused(), 121), []);
+  assert.match(play(unused(), 122).join(), /^left_charged: m1 unused for 121 s/);
+  assert.deepEqual(play(unused({ used: true }), 300), []);
+  assert.deepEqual(play(unused({}, [wants()]), 300), [], 'somebody waits');
+  assert.deepEqual(play(unused({}, [], 100e6), 220), [], 'troubles last');
+  assert.deepEqual(play(unused({ up: false }), 151), [], 'it boots');
+  assert.match(play(unused({ up: false }), 152).join(), /^left_charged/);
+  const rent =
+    (free: Amounts, at = 20, wanted: Wanted[] = [wants({ tasks: 2 })]) =>
+    (c: Charged, s: number) => {
+      c.look(s * 1e6, 0, [], wanted, [roomOn('m1', free)]);
+      if (s === at) c.rented(s * 1e6, 1);
+    };
+  assert.match(play(rent(amounts(8, 0, 32)), 30).join(), /^hired_twice: 1 machines at 20000000, with room/);
+  assert.deepEqual(play(rent(amounts(8, 0, 32), 4), 30), [], 'what was asked for before may have come');
+  assert.deepEqual(play(rent(amounts(7, 0, 32)), 30), [], 'one of two has no room');
+  assert.deepEqual(play(rent(amounts(8, 4, 32)), 30), [], 'room beside GPUs is not counted on');
+  assert.match(play(rent(amounts(8, 0, 32), 20, []), 30).join(), /^hired_twice/, 'nobody waits at all');
+});
