--- /dev/null
+++ b/packages/lab/test/meetings-mute-machines.test.ts
@@ -0,0 +1,15 @@
+/** Machines that reach no controller, while direct orders reach them. */
+import { playMeetings } from './meeting-days.js';
+
+playMeetings([
+  [
+    'machines that reach no controller',
+    { machineMute: true },
+    [
+      'cancelled and stopped directly on a mute machine',
+      'started again elsewhere after the lease',
+      'a mute machine was returned',
+      'a machine that came up mute was returned',
+    ],
+  ],
+]);
--- a/packages/lab/test/meetings-machines.test.ts
+++ b/packages/lab/test/meetings-new-machines.test.ts
@@ -1,4 +1,4 @@
-/** Machines that are up at once, and machines that reach no controller. */
+/** Machines that are up at once, before anybody knows of them. */
 import { playMeetings } from './meeting-days.js';
 
 playMeetings([
@@ -12,14 +12,4 @@
       'leader ended between the report and the durable start',
     ],
   ],
-  [
-    'machines that reach no controller',
-    { machineMute: true },
-    [
-      'cancelled and stopped directly on a mute machine',
-      'started again elsewhere after the lease',
-      'a mute machine was returned',
-      'a machine that came up mute was returned',
-    ],
-  ],
 ]);
