--- a/packages/lab/src/world/meetings/index.ts
+++ b/packages/lab/src/world/meetings/index.ts
@@ -19,6 +19,12 @@
 import { machineDeaf } from './machineDeaf.js';
 import { stateRefuses } from './stateRefuses.js';
 import { stateSlow } from './stateSlow.js';
+import { reportForNext } from './reportForNext.js';
+import { manyLeaders } from './manyLeaders.js';
+import { zoneCutLong } from './zoneCutLong.js';
+import { allAway } from './allAway.js';
+import { oneZoneLoss } from './oneZoneLoss.js';
+import { overfull } from './overfull.js';
 import { Shared, type Stage, type Trouble } from './stage.js';
 
 const TROUBLES = {
@@ -37,6 +43,12 @@
   cancelNow,
   cancelInHandover,
   atLimit,
+  reportForNext,
+  manyLeaders,
+  zoneCutLong,
+  allAway,
+  oneZoneLoss,
+  overfull,
 };
 export type Meeting = keyof typeof TROUBLES;
 export const MEETINGS = Object.keys(TROUBLES) as Meeting[];
--- /dev/null
+++ b/packages/lab/src/world/meetings/overfull.ts
@@ -0,0 +1,89 @@
+/** More work than all machines that can be had take, urgent and not, over links that are slow or lose a part. */
+import { ZONES } from '@lilacvalve/controller/support/settings';
+import { PLAIN, type Shared, type Trouble } from './stage.js';
+
+export const overfull = (m: Shared): Trouble => {
+  const { w } = m;
+  const l = w.luck;
+  let on = false;
+  return {
+    begin() {
+      if (on) return;
+      on = true;
+      w.strike('overfull');
+      const lasts = l.between(40e6, 70e6);
+      let slow = 0;
+      const ends = ['state', 'users', ...w.nodes, ...ZONES.map((z) => `zone:${z}`)];
+      for (const a of w.nodes)
+        for (const b of ends)
+          if (a !== b && l.chance(0.6)) {
+            const state = l.chance(0.6) ? 'slow' : 'lossy';
+            w.link(a, b, state, lasts);
+            if (l.chance(0.7)) w.link(b, a, state, lasts);
+            slow++;
+          }
+      const some = (n: number, urgency: 'normal' | 'high', within: number): string[] => {
+        const ids: string[] = [];
+        for (let i = 0; i < n; i++)
+          m.at(l.between(0, within), () => {
+            // One team has a limit, and must not get beyond it as its less urgent work is being stopped.
+            const limited = l.chance(0.25);
+            const job = {
+              ...PLAIN,
+              team: limited ? 'red' : 'blue',
+              tasks: limited ? 3 : 4 + l.int(3),
+              cpus: 4,
+              saveEvery: l.chance(0.5) ? 5e6 : 0,
+              oneZone: l.chance(0.2),
+              runUs: limited ? l.between(8e6, 15e6) : l.between(15e6, 30e6),
+            };
+            const id = w.submit({ job, urgency, due: null }, () => w.node());
+            if (id !== undefined) ids.push(id);
+          });
+        return ids;
+      };
+      const first = some(12, 'normal', 6e6);
+      let urgent: string[] = [];
+      m.at(l.between(18e6, 26e6), () => {
+        urgent = some(5, 'high', 4e6);
+      });
+      const met = new Set<string>();
+      const once = (what: string): void => {
+        if (!met.has(what)) m.meet(what);
+        met.add(what);
+      };
+      const until = w.time.now + lasts;
+      const look = (): void => {
+        const there = new Set<string>();
+        const stopped = new Set<string>();
+        let used = 0;
+        for (const x of w.workers.values())
+          for (const t of x.tasks.values()) {
+            const id = t.key.slice(0, t.key.indexOf('/'));
+            if (t.status === 'flushing' || t.cause === 'stopped') stopped.add(id);
+            if (t.status === 'ended') continue;
+            there.add(t.key);
+            used += w.jobs.get(id)?.cpus ?? 0;
+          }
+        let waiting = 0;
+        for (const id of [...first, ...urgent]) {
+          const job = w.jobs.get(id);
+          if (job === undefined || w.rules.state(id) !== 'accepted') continue;
+          for (let i = 0; i < job.tasks; i++)
+            if (!job.finished.has(i) && !there.has(`${id}/${i}`)) waiting += job.cpus;
+        }
+        const room = w.workers.size * 8;
+        if (slow > 0 && w.workers.size >= 6 && waiting > room - used + 16)
+          once('more work than room, over slow links');
+        if (first.some((id) => stopped.has(id))) once('stopped for an urgent one');
+        const began = (id: string): boolean => [...there].some((key) => key.startsWith(`${id}/`));
+        if (urgent.some(began) && first.some((id) => !began(id) && w.jobs.get(id)!.finished.size === 0))
+          once('urgent before what came earlier');
+        if (w.time.now < until) m.at(500_000, look);
+        else end();
+      };
+      const end = (): void => void (on = false);
+      look();
+    },
+  };
+};
--- a/packages/lab/src/world/meetings/stage.ts
+++ b/packages/lab/src/world/meetings/stage.ts
@@ -2,6 +2,7 @@
 import type { Luck } from '@lilacvalve/controller/support/luck';
 import type { Arrival } from '../crowd.js';
 import type { Answered, Ask, Asked } from '../history.js';
+import type { LinkState } from '../links.js';
 import type { Rules } from '../rules.js';
 import type { StateService } from '../state.js';
 import type { Time } from '../time.js';
@@ -43,6 +44,10 @@
   freeze(node: string, lasts: number): void;
   giveWay(node: string, forMicros: number): void;
   cut(a: string, b: string, state: 'held' | 'reset', lasts: number): void;
+  /** One direction alone. */
+  link(from: string, to: string, state: LinkState, lasts: number): void;
+  /** A machine is gone without a word. */
+  take(machine: string): void;
   submit(job: Arrival, via: () => string): string | undefined;
   /** One request about a job to one controller, beside those of its user. */
   ask(what: Ask, id: string, node: string, then?: (asked: Asked, a: Answered | null) => void): void;
--- a/packages/lab/src/world/world.ts
+++ b/packages/lab/src/world/world.ts
@@ -362,6 +362,11 @@
         if (l) this.time.fork(l.node.leadership.giveWay('handover', forMicros), l.host);
       },
       cut: (a, b, state, lasts) => this.cut(a, b, state, lasts),
+      link: (from, to, state, lasts) => {
+        this.troubled(lasts);
+        this.links.set(from, to, state, lasts);
+      },
+      take: (machine) => this.take(machine, false),
       submit: (arrival, via) => this.submit(null, undefined, arrival, via),
       cancel: (id, via, confirmed) => this.cancel(id, via, confirmed),
       ask: (what, id, node, then) => this.ask(what, id, node, then),
--- a/packages/lab/test/meeting-days.ts
+++ b/packages/lab/test/meeting-days.ts
@@ -12,12 +12,12 @@
 /** Days are played until all of the meeting has happened, one or two mostly; never more than these. */
 const SEEDS = [1, 2, 3, 4, 5, 6];
 
-export const playMeetings = (rows: readonly Row[]): void => {
+export const playMeetings = (rows: readonly Row[], seeds: readonly number[] = SEEDS): void => {
   for (const [meeting, troubles, met, sized = SMALL] of rows)
     test(`rules hold: ${meeting}`, () => {
       const size = { size: sized, jobs: 12, room: false, troubledUs: 130e6, quietUs: 300e6 };
       const missing = new Set(met);
-      for (const seed of SEEDS) {
+      for (const seed of seeds) {
         const day = playDay({ name: meeting, ...size, troubles }, seed);
         assert.deepEqual(faultsOf(day), [], `seed ${seed}`);
         for (const what of Object.keys(day.met)) missing.delete(what);
--- /dev/null
+++ b/packages/lab/test/meetings-leaders-away.test.ts
@@ -0,0 +1,26 @@
+/** Leaders that follow one another within seconds, in an outage too, and none at all for longer than a lease. */
+import { playMeetings } from './meeting-days.js';
+
+playMeetings([
+  [
+    'ten leaders in two minutes, in an outage too',
+    { manyLeaders: true },
+    ['ten leaders in two minutes', 'a leader ended inside the outage'],
+  ],
+]);
+playMeetings(
+  [
+    [
+      'all controllers away beyond the lease, and back one by one',
+      { allAway: true },
+      [
+        'all away beyond the lease',
+        'leases lapsed with all away',
+        'one leads alone, the first one back',
+        'started again by the one that is back',
+        'cancelled as all went away',
+      ],
+    ],
+  ],
+  [3, 1, 2, 4, 5, 6],
+);
--- /dev/null
+++ b/packages/lab/test/meetings-overfull.test.ts
@@ -0,0 +1,17 @@
+/** More work than all machines that can be had take, urgent and not. */
+import { playMeetings } from './meeting-days.js';
+
+playMeetings(
+  [
+    [
+      'more work than room, urgent and not, over slow links',
+      { overfull: true },
+      [
+        'more work than room, over slow links',
+        'stopped for an urgent one',
+        'urgent before what came earlier',
+      ],
+    ],
+  ],
+  [2, 1, 3, 4, 5, 6],
+);
