Lab: a gang's end told to two leaders, held orders and held answers counted apart; the new meetings described

Of gangs the lab had only an end at one moment: some of their machines now stand still as it comes, so that one leader hears it from some and the next from the others. The row of held machines asks for both a direct order and an answer that was held.

--- a/packages/lab/src/world/meetings/farEnds.ts
+++ b/packages/lab/src/world/meetings/farEnds.ts
@@ -7,6 +7,8 @@
   /** Of jobs whose ends lie far apart: the term under which the first ended. */
   const firstEnd = new Map<string, number | null>();
   const far = new Set<string>();
+  /** Of gangs among them: under which term each machine first told of its end. */
+  const told = new Map<string, Map<string, number>>();
   /** The state service has it that the task completed, or that its job is over. */
   const durable = (id: string, task: number): boolean => {
     const { keys } = m.w.state;
@@ -26,16 +28,16 @@
       const { w } = m;
       const l = w.luck;
       w.strike('farEnds');
-      for (let i = 0; i < 3; i++) {
+      for (let i = 0; i < 4; i++) {
         const runs = [l.between(2e6, 6e6), l.between(20e6, 50e6), l.between(30e6, 70e6)].slice(
           0,
           2 + l.int(2),
         );
-        const gang = l.chance(0.25);
+        const gang = i === 3 || l.chance(0.25);
         const job = {
           ...PLAIN,
           ...(gang ? { shape: 'ensemble', tasks: runs.length } : { tasks: runs.length, runs }),
-          cpus: 1,
+          cpus: gang ? 4 : 1,
           runUs: gang ? l.between(5e6, 20e6) : runs[0]!,
         };
         const id = w.submit({ job, urgency: 'high', due: null }, () => w.node());
@@ -54,8 +56,28 @@
         if (leader !== undefined && w.luck.chance(0.6))
           m.at(w.luck.between(0, 2.5e6), () => m.change(leader));
         w.troubled(8e6);
+        // A gang ends as a whole: some of its machines stand still, and tell of it to whoever leads then.
+        if (w.jobs.get(id)?.shape === 'ensemble')
+          for (const x of w.workers.values())
+            if (!x.hanging && w.luck.chance(0.5) && [...x.tasks.keys()].some((k) => k.startsWith(`${id}/`))) {
+              x.hanging = true;
+              m.at(w.luck.between(1e6, 8e6), () => (x.hanging = false));
+            }
       } else if (first !== null && term !== null && term > first) m.meet('ends under two leaders');
     },
+    reported: (by) => {
+      const term = m.w.term();
+      if (term === null || far.size === 0) return;
+      for (const t of by.tasks.values()) {
+        const id = t.key.slice(0, t.key.indexOf('/'));
+        if (t.cause !== 'done' || !far.has(id) || m.w.jobs.get(id)?.shape !== 'ensemble') continue;
+        const of = told.get(id) ?? new Map<string, number>();
+        told.set(id, of);
+        if (of.has(by.place.id)) continue;
+        of.set(by.place.id, term);
+        if (Math.min(...of.values()) < term) m.meet('a gang told done to two leaders');
+      }
+    },
     reaped: (task, done) => {
       const at = task.indexOf('/');
       const id = task.slice(0, at);
--- a/packages/lab/src/world/meetings/heldMachine.ts
+++ b/packages/lab/src/world/meetings/heldMachine.ts
@@ -19,6 +19,9 @@
       if (w.time.now >= held.until || !held.machines.has(by.place.id) || !l.chance(0.3)) return 0;
       return l.chance(0.6) ? l.between(500_000, 3.9e6) : l.between(3.9e6, 1.4 * w.lease);
     },
-    wentOn: (lapsed) => m.meet(lapsed ? 'held beyond the lease' : 'held within the lease'),
+    wentOn: (lapsed, order) => {
+      m.meet(lapsed ? 'held beyond the lease' : 'held within the lease');
+      m.meet(order ? 'direct order held' : 'answer held');
+    },
   };
 };
--- a/packages/lab/src/world/meetings/index.ts
+++ b/packages/lab/src/world/meetings/index.ts
@@ -105,8 +105,8 @@
   holds(by: Worker): number {
     return Math.max(0, ...this.all.map((t) => t.holds?.(by) ?? 0));
   }
-  wentOn(lapsed: boolean): void {
-    for (const t of this.all) t.wentOn?.(lapsed);
+  wentOn(lapsed: boolean, order: boolean): void {
+    for (const t of this.all) t.wentOn?.(lapsed, order);
   }
   heard(node: string): void {
     for (const t of this.all) t.heard?.(node);
--- a/packages/lab/src/world/meetings/stage.ts
+++ b/packages/lab/src/world/meetings/stage.ts
@@ -61,7 +61,8 @@
   reported?(by: Worker, node: string, body: Buffer): void;
   /** For how long the machine stands still before it acts on what it got. */
   holds?(by: Worker): number;
-  wentOn?(lapsed: boolean): void;
+  /** It has gone on; `order`: with a direct order, else with an answer. */
+  wentOn?(lapsed: boolean, order: boolean): void;
   /** A controller gets a worker's report. */
   heard?(node: string): void;
   /** A task has completed. */
--- a/packages/lab/src/world/worker.ts
+++ b/packages/lab/src/world/worker.ts
@@ -44,7 +44,7 @@
   /** An order or an answer has reached a machine: for so long it stands still before it acts. */
   holds(by: Worker): number;
   /** A machine has gone on. */
-  wentOn(lapsed: boolean): void;
+  wentOn(lapsed: boolean, order: boolean): void;
   /** An ended task is forgotten by its machine; `done`: it had completed. */
   reaped(task: string, done: boolean): void;
   handle(node: string, r: Incoming): Effect.Effect<Answer> | null;
@@ -318,7 +318,7 @@
   }
 
   /** Acts on what has arrived, at once or when the machine goes on. */
-  private hold(act: () => void): void {
+  private hold(act: () => void, order = false): void {
     if (this.arrived !== null) return void this.arrived.push(act);
     const still = this.alive && !this.hanging ? this.net.holds(this) : 0;
     if (still === 0) return act();
@@ -327,7 +327,7 @@
     this.time.after(still, () => {
       this.hanging = false;
       if (!this.alive) return;
-      this.net.wentOn(tenure !== this.tenure);
+      this.net.wentOn(tenure !== this.tenure, order);
       act();
     });
   }
@@ -358,7 +358,7 @@
       this.time.after(500_000, () => this.direct(body));
       return;
     }
-    this.hold(() => this.act(body));
+    this.hold(() => this.act(body), true);
   }
 
   private act(body: string): void {
--- a/packages/lab/src/world/world.ts
+++ b/packages/lab/src/world/world.ts
@@ -550,8 +550,8 @@
   holds(by: Worker): number {
     return this.meetings?.holds(by) ?? 0;
   }
-  wentOn(lapsed: boolean): void {
-    this.meetings?.wentOn(lapsed);
+  wentOn(lapsed: boolean, order: boolean): void {
+    this.meetings?.wentOn(lapsed, order);
   }
   reaped(task: string, done: boolean): void {
     this.meetings?.reaped(task, done);
--- a/packages/lab/test/meetings.test.ts
+++ b/packages/lab/test/meetings.test.ts
@@ -5,7 +5,7 @@
   [
     'ends far apart, the leader changed between',
     { farEnds: true },
-    ['ends under two leaders', 'reap between ends'],
+    ['ends under two leaders', 'reap between ends', 'a gang told done to two leaders'],
   ],
   ['machines deaf to a new leader', { machineDeaf: true }, ['deaf machine under a new leader']],
   [
@@ -26,7 +26,7 @@
   [
     'machines that stand still and go on',
     { heldMachine: true },
-    ['held within the lease', 'held beyond the lease'],
+    ['held within the lease', 'held beyond the lease', 'direct order held', 'answer held'],
   ],
   ['the leader refused, then all, and users cancel between', { gap: true }, ['cancelled beside a hold']],
   [
