--- a/packages/lab/src/world/meetings/index.ts
+++ b/packages/lab/src/world/meetings/index.ts
@@ -24,6 +24,13 @@
 import { stateRefuses } from './stateRefuses.js';
 import { stateSlow } from './stateSlow.js';
 import { type HireWay, Shared, type Stage, type Trouble } from './stage.js';
+import { reportForNext } from './reportForNext.js';
+import { manyLeaders } from './manyLeaders.js';
+import { zoneCutLong } from './zoneCutLong.js';
+import { allAway } from './allAway.js';
+import { oneZoneLoss } from './oneZoneLoss.js';
+import { overfull } from './overfull.js';
+import { Shared, type Stage, type Trouble } from './stage.js';
 
 const TROUBLES = {
   lateWrites,
@@ -45,6 +52,12 @@
   manySmall,
   fastBoots,
   machineMute,
+  reportForNext,
+  manyLeaders,
+  zoneCutLong,
+  allAway,
+  oneZoneLoss,
+  overfull,
 };
 export type Meeting = keyof typeof TROUBLES;
 export const MEETINGS = Object.keys(TROUBLES) as Meeting[];
@@ -101,8 +114,8 @@
   holds(by: Worker): number {
     return Math.max(0, ...this.all.map((t) => t.holds?.(by) ?? 0));
   }
-  wentOn(lapsed: boolean): void {
-    for (const t of this.all) t.wentOn?.(lapsed);
+  wentOn(lapsed: boolean, order: boolean): void {
+    for (const t of this.all) t.wentOn?.(lapsed, order);
   }
   heard(node: string): void {
     for (const t of this.all) t.heard?.(node);
--- a/packages/lab/src/world/worker.ts
+++ b/packages/lab/src/world/worker.ts
@@ -47,6 +47,7 @@
   wentOn(lapsed: boolean): void;
   /** An order to its address has stopped a task. */
   stoppedDirectly(by: Worker, task: string): void;
+  wentOn(lapsed: boolean, order: boolean): void;
   /** An ended task is forgotten by its machine; `done`: it had completed. */
   reaped(task: string, done: boolean): void;
   handle(node: string, r: Incoming): Effect.Effect<Answer> | null;
@@ -324,7 +325,7 @@
   }
 
   /** Acts on what has arrived, at once or when the machine goes on. */
-  private hold(act: () => void): void {
+  private hold(act: () => void, order = false): void {
     if (this.arrived !== null) return void this.arrived.push(act);
     const still = this.alive && !this.hanging ? this.net.holds(this) : 0;
     if (still === 0) return act();
@@ -333,7 +334,7 @@
     this.time.after(still, () => {
       this.hanging = false;
       if (!this.alive) return;
-      this.net.wentOn(tenure !== this.tenure);
+      this.net.wentOn(tenure !== this.tenure, order);
       act();
     });
   }
@@ -364,7 +365,7 @@
       this.time.after(500_000, () => this.direct(body));
       return;
     }
-    this.hold(() => this.act(body));
+    this.hold(() => this.act(body), true);
   }
 
   private act(body: string): void {
