--- a/packages/lab/src/world/meetings/index.ts
+++ b/packages/lab/src/world/meetings/index.ts
@@ -30,7 +30,6 @@
 import { allAway } from './allAway.js';
 import { oneZoneLoss } from './oneZoneLoss.js';
 import { overfull } from './overfull.js';
-import { Shared, type Stage, type Trouble } from './stage.js';
 
 const TROUBLES = {
   lateWrites,
@@ -157,9 +156,6 @@
   ordered(task: string): void {
     for (const t of this.all) t.ordered?.(task);
   }
-  started(task: string): void {
-    for (const t of this.all) t.started?.(task);
-  }
   reaped(task: string, done: boolean): void {
     for (const t of this.all) t.reaped?.(task, done);
   }
--- a/packages/lab/src/world/meetings/stage.ts
+++ b/packages/lab/src/world/meetings/stage.ts
@@ -105,8 +105,6 @@
   committed?(key: string, value: string | undefined): void;
   /** A machine has executed the order to start a task. */
   ordered?(task: string): void;
-  /** A task has its image and is on its machine. */
-  started?(task: string): void;
   /** A machine was told to forget a task. */
   reaped?(task: string, done: boolean): void;
 }
--- a/packages/lab/src/world/rules.ts
+++ b/packages/lab/src/world/rules.ts
@@ -83,8 +83,6 @@
   onComplete: (task: string) => void = () => undefined;
   /** A machine has executed the order to start a task. */
   onOrdered: (task: string) => void = () => undefined;
-  /** A task is on a machine from here. */
-  onStart: (task: string) => void = () => undefined;
 
   constructor(
     private readonly cancelWithin: number,
--- a/packages/lab/src/world/worker.ts
+++ b/packages/lab/src/world/worker.ts
@@ -43,10 +43,9 @@
   reported(by: Worker, node: string, body: Buffer): void;
   /** An order or an answer has reached a machine: for so long it stands still before it acts. */
   holds(by: Worker): number;
-  /** A machine has gone on. */
-  wentOn(lapsed: boolean): void;
   /** An order to its address has stopped a task. */
   stoppedDirectly(by: Worker, task: string): void;
+  /** A machine has gone on; `order`: with a direct order, else with an answer. */
   wentOn(lapsed: boolean, order: boolean): void;
   /** An ended task is forgotten by its machine; `done`: it had completed. */
   reaped(task: string, done: boolean): void;
--- a/packages/lab/src/world/world.ts
+++ b/packages/lab/src/world/world.ts
@@ -315,7 +315,6 @@
     this.rules.onStart = (task, machine) => this.meetings?.started(task, machine);
     this.rules.onComplete = (task) => this.meetings?.completed(task);
     this.rules.onOrdered = (task) => this.meetings?.ordered(task);
-    this.rules.onStart = (task) => this.meetings?.started(task);
     this.time.onStep = () => this.rules.check(this.time.now);
     for (const n of this.nodes) this.boot(n);
     if ((troubles.losses?.length ?? 0) > 0) this.watch();
