Lab: odd requests, and unit cases for the checks that had none

The trouble oddRequests: users submit jobs again that are not over, also with another content, cancel jobs that are done or that nobody knows, and submit jobs that can't run or lack a field.

checks.test.ts: reaped_early, record_rewritten and the checks of odd requests are seen to fail on what breaks them.

--- a/packages/lab/src/world/meetings/index.ts
+++ b/packages/lab/src/world/meetings/index.ts
@@ -17,6 +17,7 @@
 import { lateWrites } from './lateWrites.js';
 import { leaderAlone } from './leaderAlone.js';
 import { machineDeaf } from './machineDeaf.js';
+import { oddRequests } from './oddRequests.js';
 import { stateRefuses } from './stateRefuses.js';
 import { stateSlow } from './stateSlow.js';
 import { Shared, type Stage, type Trouble } from './stage.js';
@@ -37,6 +38,7 @@
   cancelNow,
   cancelInHandover,
   atLimit,
+  oddRequests,
 };
 export type Meeting = keyof typeof TROUBLES;
 export const MEETINGS = Object.keys(TROUBLES) as Meeting[];
--- a/packages/lab/src/world/meetings/stage.ts
+++ b/packages/lab/src/world/meetings/stage.ts
@@ -1,8 +1,9 @@
 /** What troubles that meet need of the world, and what several of them do. */
+import type { Answer } from '@lilacvalve/base/http-server';
 import type { Luck } from '@lilacvalve/controller/support/luck';
 import type { Arrival } from '../crowd.js';
 import type { Answered, Ask, Asked } from '../history.js';
-import type { Rules } from '../rules.js';
+import type { Got, Rules } from '../rules.js';
 import type { StateService } from '../state.js';
 import type { Time } from '../time.js';
 import type { JobTruth, Worker } from '../worker.js';
@@ -46,6 +47,16 @@
   submit(job: Arrival, via: () => string): string | undefined;
   /** One request about a job to one controller, beside those of its user. */
   ask(what: Ask, id: string, node: string, then?: (asked: Asked, a: Answered | null) => void): void;
+  /** What users have submitted, by job. */
+  readonly bodies: ReadonlyMap<string, string>;
+  /** One request of a user; null: no answer. */
+  call(
+    node: string,
+    method: string,
+    path: string,
+    body: string | null,
+    then: (a: Answer | null, got: Got | undefined) => void,
+  ): void;
   cancel(id: string, via: () => string, confirmed: (by: string) => void): void;
 }
 
--- a/packages/lab/src/world/world.ts
+++ b/packages/lab/src/world/world.ts
@@ -363,6 +363,8 @@
       },
       cut: (a, b, state, lasts) => this.cut(a, b, state, lasts),
       submit: (arrival, via) => this.submit(null, undefined, arrival, via),
+      bodies: this.bodies,
+      call: (node, method, path, body, then) => this.call(node, method, path, body, then),
       cancel: (id, via, confirmed) => this.cancel(id, via, confirmed),
       ask: (what, id, node, then) => this.ask(what, id, node, then),
     };
--- a/packages/lab/test/checks.test.ts
+++ b/packages/lab/test/checks.test.ts
@@ -10,12 +10,14 @@
 import { Begun } from '../src/world/begun.js';
 import { LENDING_TEAMS, Loans } from '../src/world/lending.js';
 import { Links } from '../src/world/links.js';
+import { ODD, wrongly } from '../src/world/meetings/oddRequests.js';
 import { Memory } from '../src/world/memory.js';
 import { Rules, type Spec } from '../src/world/rules.js';
 import { StateService } from '../src/world/state.js';
 import { Time } from '../src/world/time.js';
 import { type Amounts, amounts, fitsNow, type RoomOn, Waiting, type Wanted } from '../src/world/waiting.js';
 import type { JobTruth } from '../src/world/worker.js';
+import { World } from '../src/world/world.js';
 
 const spec: Spec = {
   id: 'job-1',
@@ -408,3 +410,53 @@
     wants({ tasks: 9 }, 'array', s < 50 ? { 'job-1/0': 'a', 'job-1/1': 'a' } : { 'job-1/0': 'a' });
   assert.equal(play(110, (s) => ({ job: ending(s) })).length, 1);
 });
+
+test('an odd submission that is accepted, refused otherwise, or whose field is not named is seen', () => {
+  assert.equal(wrongly(400, 'pieces: is missing', 400, 'pieces'), null);
+  assert.equal(wrongly(400, 'hostsKinds.0: Expected string', 400, 'hostsKinds'), null);
+  assert.equal(wrongly(422, 'unknown team', 422), null);
+  assert.equal(wrongly(503, 'starting', 422), null);
+  for (const status of [200, 201, 400, 404]) assert.match(wrongly(status, '', 422)!, /^odd_accepted: /);
+  assert.match(wrongly(422, 'pieces: is missing', 400, 'pieces')!, /^odd_accepted: /);
+  assert.match(wrongly(400, 'job description too large', 400, 'pieces')!, /^odd_unnamed: /);
+  assert.match(wrongly(400, undefined, 400, 'pieces')!, /^odd_unnamed: /);
+  assert.ok(ODD.every(([status, , field]) => (status === 400) === (field !== undefined)));
+});
+
+test('a completion that is forgotten before it is durable is seen', () => {
+  const w = new World(5, { farEnds: true });
+  w.time.run(15e6);
+  w.meetings!.kinds.farEnds();
+  w.time.run(w.time.now + 1e6);
+  const id = [...w.jobs.keys()][0]!;
+  assert.ok(w.state.keys.has(activeKey(id)), 'accepted');
+  const early = (): string[] => w.rules.broken.filter((b) => b.startsWith('reaped_early: '));
+  w.meetings!.reaped(`${id}/0`, false);
+  w.meetings!.reaped('job-1/0', true);
+  assert.deepEqual(early(), [], 'what did not complete, or is none of its jobs');
+  w.meetings!.reaped(`${id}/0`, true);
+  assert.equal(early().length, 1);
+  while (!w.rules.completed.has(id) && w.time.now < 120e6) w.time.run(w.time.now + 100_000);
+  w.time.run(w.time.now + 5e6);
+  const [task] = w.rules.completed.get(id)!;
+  w.meetings!.reaped(`${id}/${task}`, true);
+  assert.equal(early().length, 1, 'durable by then');
+  w.stop();
+});
+
+test('a record that is written twice is seen, unless the store has lost data', () => {
+  const w = new World(5, {});
+  const put = (seq: number, value: string | undefined): void => w.state.onPut(recordKey(seq), value);
+  const twice = (): string[] => w.rules.broken.filter((b) => b.startsWith('record_rewritten: '));
+  put(1001, '{"@":{"t":1}}');
+  put(1002, '{"@":{"t":2}}');
+  put(1001, undefined);
+  put(1001, undefined);
+  assert.deepEqual(twice(), []);
+  put(1001, '{"@":{"t":3}}');
+  assert.equal(twice().length, 1);
+  w.lossAt.push(w.time.now);
+  put(1002, '{"@":{"t":4}}');
+  assert.equal(twice().length, 1);
+  w.stop();
+});
--- /dev/null
+++ b/packages/lab/test/meetings-odd.test.ts
@@ -0,0 +1,17 @@
+/** Odd requests, on days of their own and with a trouble that changes leaders. */
+import { playMeetings } from './meeting-days.js';
+
+playMeetings([
+  [
+    'odd requests while controllers end and come back',
+    { oddRequests: true, nodeCrash: true },
+    [
+      'unfinished job submitted again',
+      'known job with an odd body',
+      'done job cancelled',
+      'unknown job cancelled',
+      'refused with 400',
+      'refused with 422',
+    ],
+  ],
+]);
