--- a/packages/controller/src/fleet/duty.ts
+++ b/packages/controller/src/fleet/duty.ts
@@ -43,6 +43,18 @@
 export const isMute = (m: Machine, { lease, cancel }: Settings['workers'], at: Micros): boolean =>
   !m.reported && m.runningSince !== null && at - m.runningSince > Math.max(lease, cancel) + SILENT;
 
+/** How long a machine that serves nobody yet has been waited for, as what counts as room on its way is told by. */
+export const awaitedOf = (m: Machine, boot: Micros, at: Micros): Awaited => ({
+  age: (at - m.since) as Micros,
+  boot,
+  runningFor: m.reported
+    ? // Its reports may come and answers not reach it: counted from the latest, it was room on its way for ever.
+      ((at - m.unconfirmedSince) as Micros)
+    : m.runningSince === null
+      ? null
+      : ((at - m.runningSince) as Micros),
+});
+
 export const fleetDuty = (t: Turn, view: CycleView, cloud: CloudPort) => {
   const refusedUntil = new Map<string, Micros>();
   /** Boot times are learnt by type and zone, whatever the price. */
@@ -76,16 +88,7 @@
     for (const l of machines) rented.delete(l.id);
   });
 
-  const awaitedOf = (m: Machine, at: Micros): Awaited => ({
-    age: (at - m.since) as Micros,
-    boot: bootOf(m.type),
-    runningFor: m.reported
-      ? // Its reports may come and answers not reach it: counted from the latest, it was room on its way for ever.
-        ((at - m.unconfirmedSince) as Micros)
-      : m.runningSince === null
-        ? null
-        : ((at - m.runningSince) as Micros),
-  });
+  const waitedFor = (m: Machine, at: Micros): Awaited => awaitedOf(m, bootOf(m.type), at);
 
   /** Follows machines from their rental to their first report. */
   const watch = Effect.gen(function* () {
@@ -99,7 +102,7 @@
           yield* info('overdue machine came', { machine: m.id, afterS: Math.round((at - m.since) / 1e6) });
       } else {
         awaited.add(m.id);
-        if (!overdue.has(m.id) && isOverdue(awaitedOf(m, at))) {
+        if (!overdue.has(m.id) && isOverdue(waitedFor(m, at))) {
           overdue.add(m.id);
           yield* info('machine overdue', {
             term: t.reign.term,
@@ -242,7 +245,7 @@
       else if (!m.reported || !m.confirmed) {
         if (m.listed === 'running') silent = true;
         const alike = coming.get(offerKey(m));
-        const one = { m, a: awaitedOf(m, at) };
+        const one = { m, a: waitedFor(m, at) };
         if (alike) alike.push(one);
         else coming.set(offerKey(m), [one]);
       }
