--- a/packages/lab/test/leadership.test.ts
+++ b/packages/lab/test/leadership.test.ts
@@ -77,6 +77,10 @@
     w.time.run(25e6);
     const leader = (blind = w.leader()!);
     assert.ok(leader, 'somebody leads');
+    // The others know of changes that it has not read.
+    const other = w.nodes.find((n) => n !== leader)!;
+    for (let i = 1; i < 60; i++)
+      w.time.after(i * 1e6, () => w.submit(null, { tasks: 1, cpus: 1 }, null, () => other));
     const { leadership } = w.up().find((u) => u.name === leader)!.node;
     const { workers } = worldSettings('n0');
     const since = w.time.now;
