--- a/packages/lab/src/world/meetings/index.ts
+++ b/packages/lab/src/world/meetings/index.ts
@@ -21,6 +21,7 @@
 import { machineDeaf } from './machineDeaf.js';
 import { manySmall } from './manySmall.js';
 import { machineMute } from './machineMute.js';
+import { oddRequests } from './oddRequests.js';
 import { stateRefuses } from './stateRefuses.js';
 import { stateSlow } from './stateSlow.js';
 import { type HireWay, Shared, type Stage, type Trouble } from './stage.js';
@@ -57,6 +58,7 @@
   allAway,
   oneZoneLoss,
   overfull,
+  oddRequests,
 };
 export type Meeting = keyof typeof TROUBLES;
 export const MEETINGS = Object.keys(TROUBLES) as Meeting[];
