--- a/packages/lab/src/world/meetings/allAway.ts
+++ b/packages/lab/src/world/meetings/allAway.ts
@@ -13,7 +13,7 @@
     // For longer than `cancel_s`, too, now and then.
     let back = l.chance(0.3) ? w.cancelWithin + l.between(1e6, 5e6) : w.lease * l.between(1.2, 2.6);
     w.troubled(back);
-    const fall = l.between(250_000, 350_000);
+    const fall = l.between(1000, 30_000);
     for (const n of order) {
       if (l.chance(0.2)) w.giveWay(n, 0);
       const until = back;
@@ -66,16 +66,14 @@
       const begins = l.between(18e6, 24e6);
       w.troubled(begins + 10e6);
       m.at(begins, () => {
-        for (const id of ids)
-          if (l.chance(0.6))
-            m.at(l.between(250_000, 400_000), () =>
-              w.cancel(
-                id,
-                () => w.node(),
-                () => undefined,
-              ),
-            );
-        m.at(100_000, () => away(ids));
+        // As the first cancellations are confirmed, mostly.
+        let fallen = false;
+        const fall = (): void => {
+          if (!fallen) away(ids);
+          fallen = true;
+        };
+        for (const id of ids) if (l.chance(0.6)) w.cancel(id, () => w.node(), fall);
+        m.at(2e6, fall);
       });
     },
   };
