Lending: what one replica takes from a team counts together

Each victim was held alone against its team's guarantee. The unit test had 2 stops instead of none with the line taken out.

--- a/packages/controller/src/scheduler/replicas.ts
+++ b/packages/controller/src/scheduler/replicas.ts
@@ -102,21 +102,35 @@
     return w;
   };
 
-  const allowed = (job: Job, team: TeamState, need: Room, fetch: Micros, u: Evicted): boolean => {
+  /** `others`: victims of the same replica: each alone may leave its team its guarantee, and both together not. */
+  const allowed = (
+    job: Job,
+    team: TeamState,
+    need: Room,
+    fetch: Micros,
+    u: Evicted,
+    others: readonly Evicted[] = [],
+  ): boolean => {
     const { spec } = u.job;
+    const stays: Room = [...u.team.stays];
+    let tasks = u.members.length;
+    for (const o of others) {
+      if (o.team === u.team) add(stays, [-o.size[0], -o.size[1], -o.size[2]]);
+      if (o.job === u.job) tasks += o.members.length;
+    }
     // What computes without GPUs beside them goes by the cycle's own rule.
     if (
       !mayTake({
         sameTeam: u.team === team,
         lower: spec.urgency < job.spec.urgency,
         right: rightOf(team.held, need, team.settings.guarantee),
-        standing: standingOf(u.team.stays, u.size, u.team.settings.guarantee),
+        standing: standingOf(stays, u.size, u.team.settings.guarantee),
       })
     )
       return false;
     const taken = u.job.taken + (stopped.get(u.job) ?? 0);
     const bound = { gang: spec.shape === 'gang', tasks: spec.tasks, taken };
-    if (spec.gpus > 0 && !mayTakeMore(bound, u.members.length)) return false;
+    if (spec.gpus > 0 && !mayTakeMore(bound, tasks)) return false;
     const w = weigh(u);
     return w.reachable && !endsFirst(w.victim, fetch);
   };
@@ -158,6 +172,7 @@
       if (fits(need, have)) break;
       if (!((have[1] < need[1] - EPSILON && u.need[1] > 0) || have[0] < need[0] || have[2] < need[2]))
         continue;
+      if (victims.length > 0 && !allowed(job, team, need, fetch, u, victims)) continue;
       for (const m of u.members) if (m.machine === n.view.id) add(have, u.need);
       victims.push(u);
       lost += weigh(u).lost;
--- a/packages/controller/test/lending.test.ts
+++ b/packages/controller/test/lending.test.ts
@@ -187,6 +187,23 @@
   );
 });
 
+// Days: lending.toml, seeds 2 and 114. One may go and the lender's team keeps its guarantee; the second with it may not.
+test('two that one replica would take together count together', () => {
+  const of = (guarantee: number): number => {
+    const teams = [
+      { name: 'red', guarantee: { cpus: 0, gpus: 0 }, limit: { cpus: 0, gpus: 0 } },
+      { name: 'blue', guarantee: { cpus: 0, gpus: guarantee }, limit: { cpus: 0, gpus: 0 } },
+    ];
+    const lenders = [0, 1, 2, 3].map((i) =>
+      batch(`job-${i}`, { team: 'blue', urgency: 0, tasks: 1, cpus: 0 }),
+    );
+    const holders = lenders.map((b) => held(b, 'm0', 0, at(5)));
+    const queued = [wants(service('job-90', { team: 'red', tasks: 1, cpus: 0, gpus: 2 }))];
+    return schedule(input({ teams, nodes: [gpuNode('m0')], holders, queued, lending: view() })).stops.length;
+  };
+  assert.deepEqual([2, 3].map(of), [2, 0]);
+});
+
 test('a cycle in which no replica is missing is the same with lending and without', () => {
   fc.assert(
     fc.property(crowd, (c) => {
