--- a/packages/controller/test/late-answers.test.ts
+++ b/packages/controller/test/late-answers.test.ts
@@ -53,7 +53,12 @@
   const deposedBy: number[] = [];
   const state = { term: TERM as number | null, at: 10 };
   const reign = () => (state.term === null ? null : { term: state.term, stamp: 1, began: 0 as Micros });
-  const leadership = { answering: reign, acting: reign, depose: (t: number) => void deposedBy.push(t) };
+  const leadership = {
+    answering: reign,
+    acting: reign,
+    mayStart: () => true,
+    depose: (t: number) => void deposedBy.push(t),
+  };
   const receive = receiver(
     leadership as unknown as Leadership,
     () => ({ book: b, nextTurn: (then) => void waiting.push(then) }),
