--- a/packages/controller/src/api/handlers.ts
+++ b/packages/controller/src/api/handlers.ts
@@ -188,10 +188,10 @@
 
   /**
    * What a change's user is told of the job that was found instead: by a change whose own answer was lost, perhaps, of which
-   * nobody was told. Costs nothing once the others have read it.
+   * nobody was told. Costs nothing once the others have read it. Only while no record has touched it: a view that lost those must not go on from them.
    */
   const sayChanged = (id: string, f: Found): Effect.Effect<Answer> =>
-    f === null || !('job' in f) || f.job.stamp === 0 || (!f.job.withdrawn && isComplete(f.job))
+    f === null || !('job' in f) || f.job.stamp === 0 || f.job.touched > 0
       ? sayFound(id, f)
       : telling(id, f.job.stamp, { stored: encodeJob(f.job, f.job.touched) }, say(id, f));
 
