--- a/packages/controller/src/fleet/duty.ts
+++ b/packages/controller/src/fleet/duty.ts
@@ -285,7 +285,7 @@
       demand,
       companions: view.companions,
       surplus: view.surplus,
-      avoid: (job) => t.book.avoid(job, at),
+      avoid: (job) => t.book.avoid(job),
       refused: (o) => at < (refusedUntil.get(offerKey(o)) ?? 0),
       late: (o) => boots.late(bootKey(o), bootOf(o.type), overdueOf.get(bootKey(o)) ?? 0, at),
       most: 40,
--- a/packages/controller/src/scheduler/duty.ts
+++ b/packages/controller/src/scheduler/duty.ts
@@ -123,7 +123,7 @@
       queued,
       companions: view.companions,
       surplus: view.surplus,
-      avoid: (job) => t.book.avoid(job, at),
+      avoid: (job) => t.book.avoid(job),
       attempts: Math.max(t.cache.floor, t.cache.attempts),
       lending: lendingOf(t, at, queued),
     };
--- a/packages/controller/src/workers/blame.ts
+++ b/packages/controller/src/workers/blame.ts
@@ -11,8 +11,6 @@
 const SUSPECT_MACHINES = 2;
 /** Machines that a job avoids: the last so many that it failed on. */
 const AVOIDED = 3;
-/** And for how long after its last failure: else one whose only room is there would wait for ever. */
-const AVOIDED_FOR = seconds(60);
 /** Waits between tries of a suspect: first, and at the most. A gang takes the room of all its tasks at each try. */
 const FIRST_WAIT = { array: seconds(5), gang: seconds(15), service: seconds(5) };
 /** Under the 90 s for which no job may be left waiting beside room: one that looks broken may be sound. */
@@ -21,12 +19,9 @@
 const FAULTY_JOBS = 2;
 /** Failures of one moment often tell more a moment later: a job fails on its other machines too. */
 const SETTLED = seconds(3);
-/** Blame for a machine ends so long after the last failure there: what still runs on it by then speaks for it. */
-const BLAMED = seconds(60);
 /** A task that has run for longer than its job's failures took, with this to spare, speaks for the job. */
 const PROOF_TIMES = 2;
 const PROOF = seconds(5);
-const LONGEST_PROOF = seconds(60);
 
 interface Suspicion {
   readonly machines: Set<string>;
@@ -35,19 +30,12 @@
   until: Micros;
   /** The longest that a task of it ran before it failed. */
   longest: number;
-  last: Micros;
-}
-
-interface Failures {
-  readonly jobs: Map<string, Job>;
-  readonly since: Micros;
-  last: Micros;
 }
 
 export class Blame {
   private readonly jobs = new Map<string, Suspicion>();
-  /** By machine: jobs that failed there since one last completed there, when the first did, and the last. */
-  private readonly machines = new Map<string, Failures>();
+  /** By machine: jobs that failed there since one last completed there, and when the first did. */
+  private readonly machines = new Map<string, { readonly jobs: Map<string, Job>; readonly since: Micros }>();
   /** Jobs of which a task completed. */
   private readonly proven = new Set<string>();
 
@@ -60,18 +48,11 @@
     if (!s)
       this.jobs.set(
         id,
-        (s = {
-          machines: new Set(job.failedOn),
-          tries: job.failedOn.size,
-          until: this.began,
-          longest: 0,
-          last: at,
-        }),
+        (s = { machines: new Set(job.failedOn), tries: job.failedOn.size, until: this.began, longest: 0 }),
       );
     // The latest last.
     s.machines.delete(machine);
     s.machines.add(machine);
-    s.last = at;
     s.longest = Math.max(s.longest, ran);
     if (s.machines.size >= SUSPECT_MACHINES && at >= s.until) {
       // All that fails before the next try is one try's doing.
@@ -79,8 +60,7 @@
       s.tries++;
     }
     let m = this.machines.get(machine);
-    if (!m) this.machines.set(machine, (m = { jobs: new Map(), since: at, last: at }));
-    m.last = at;
+    if (!m) this.machines.set(machine, (m = { jobs: new Map(), since: at }));
     m.jobs.set(id, job);
   }
 
@@ -100,7 +80,7 @@
     if (job.done.size > 0 || this.proven.has(id)) return false;
     const s = this.jobs.get(id);
     if ((s?.machines.size ?? job.failedOn.size) < SUSPECT_MACHINES) return false;
-    return ranFor <= Math.min(LONGEST_PROOF, (s?.longest ?? 0) * PROOF_TIMES + PROOF);
+    return ranFor <= (s?.longest ?? 0) * PROOF_TIMES + PROOF;
   }
 
   /** Not before this time should a job that looks broken be tried again. */
@@ -112,10 +92,9 @@
   }
 
   /** Machines the job failed on lately. */
-  avoid(job: Job, at: Micros): ReadonlySet<string> | null {
-    const s = this.jobs.get(job.spec.id);
-    const on = s?.machines ?? job.failedOn;
-    if (on.size === 0 || at - (s?.last ?? this.began) > AVOIDED_FOR) return null;
+  avoid(job: Job): ReadonlySet<string> | null {
+    const on = this.jobs.get(job.spec.id)?.machines ?? job.failedOn;
+    if (on.size === 0) return null;
     return on.size <= AVOIDED ? on : new Set([...on].slice(-AVOIDED));
   }
 
@@ -123,10 +102,6 @@
   faulty(at: Micros, suspect: (job: Job) => boolean): Set<string> {
     const out = new Set<string>();
     for (const [id, m] of this.machines) {
-      if (at - m.last > BLAMED) {
-        this.machines.delete(id);
-        continue;
-      }
       if (at - m.since < SETTLED || m.jobs.size < FAULTY_JOBS) continue;
       let honest = 0;
       for (const j of m.jobs.values()) if (!suspect(j)) honest++;
--- a/packages/controller/src/workers/book.ts
+++ b/packages/controller/src/workers/book.ts
@@ -543,8 +543,8 @@
   }
 
   /** Machines a job should avoid, because it failed there. */
-  avoid(job: Job, at: Micros): ReadonlySet<string> | null {
-    return this.blame.avoid(job, at);
+  avoid(job: Job): ReadonlySet<string> | null {
+    return this.blame.avoid(job);
   }
 
   /** Closes machines that the evidence speaks against, and opens those it no longer does. */
