--- a/packages/lab/src/world/history.ts
+++ b/packages/lab/src/world/history.ts
@@ -8,13 +8,15 @@
 export type Ask = 'submit' | 'poll' | 'cancel';
 export type End = 'done' | 'aborted';
 
-/** A request on its way, and what had been told of its job when it began. */
 export interface Asked {
   readonly ask: Ask;
   readonly id: string;
   /** Whom it went to. */
   readonly node: string;
   readonly began: number;
+}
+/** A request on its way, and what had been told of its job when it began. */
+export interface Open extends Asked {
   readonly floor: Told;
 }
 
@@ -47,14 +49,14 @@
   private readonly cancelled = new Set<string>();
 
   /** A request is sent. */
-  begins(ask: Ask, id: string, node: string, now: number): Asked {
+  begins(ask: Ask, id: string, node: string, now: number): Open {
     if (ask === 'submit') this.submitted.add(id);
     if (ask === 'cancel') this.cancelled.add(id);
     return { ask, id, node, began: now, floor: this.told.get(id) ?? NOTHING };
   }
 
   /** Its answer has arrived. What is wrong with that; empty: nothing. Refusals (429, 503, ...) tell nothing. */
-  ends(asked: Asked, a: Answered, now: number): string[] {
+  ends(asked: Open, a: Answered, now: number): string[] {
     const { ask, id, node, floor } = asked;
     const wrong: string[] = [];
     const span = `${ask} of ${id} at ${node}, ${asked.began} to ${now}`;
--- /dev/null
+++ b/packages/lab/src/world/meetings/cancelAtEnd.ts
@@ -0,0 +1,136 @@
+import { decodeJob, decodeRecord } from '@lilacvalve/controller/jobs/codec';
+import { ACTIVE, RECORD } from '@lilacvalve/controller/jobs/keys';
+import type { Ask, Asked } from '../history.js';
+import type { JobTruth } from '../worker.js';
+import { PLAIN, type Shared, type Trouble } from './stage.js';
+
+/** What became of a job's last end, and who asked about the job around it. */
+interface Ending {
+  /** The task that ends last; of a gang any. */
+  readonly task: number;
+  completed: number | null;
+  /** A record of the end was committed. */
+  durable: number | null;
+  /** A withdrawal was committed, and told. */
+  withdrawn: number | null;
+  confirmed: number | null;
+  readonly asked: { readonly ask: Ask; readonly began: number; readonly ended: number }[];
+}
+
+/** Ends are looked for so far ahead. */
+const AHEAD = 1.5e6;
+const CLOSE = 20_000;
+const WORDS: Readonly<Record<Ask, string>> = {
+  submit: 'submission',
+  poll: 'question',
+  cancel: 'cancellation',
+};
+
+/** A cancellation, questions and repeated submissions meet the end of a job's last task: just before, as it ends, as it is recorded. */
+export const cancelAtEnd = (m: Shared): Trouble => {
+  const { w } = m;
+  const l = w.luck;
+  let until = 0;
+  let share = 0;
+  const endings = new Map<string, Ending>();
+  const passed = new Set<string>();
+
+  const judge = (e: Ending): void => {
+    if (e.completed === null) return;
+    if (e.withdrawn !== null && e.withdrawn < e.completed)
+      m.meet('completed after its withdrawal was durable');
+    if (e.confirmed !== null && e.confirmed < e.completed)
+      m.meet('completed after its cancellation was confirmed');
+    if (e.durable === null) return;
+    if (e.withdrawn !== null) {
+      m.meet(e.withdrawn < e.durable ? 'withdrawal before the end' : 'withdrawal after the end');
+      if (Math.abs(e.withdrawn - e.durable) <= CLOSE) m.meet('withdrawal and end within 20 ms');
+    }
+    for (const { ask, began, ended } of e.asked) {
+      if (began <= e.durable && ended >= e.durable) m.meet(`${WORDS[ask]} as the end became durable`);
+      else if (began >= e.completed && ended < e.durable) m.meet(`${WORDS[ask]} before the end was durable`);
+      else if (began > e.durable && began - e.durable <= CLOSE) m.meet(`${WORDS[ask]} just after the end`);
+    }
+  };
+
+  const meetEnd = (id: string, task: number, end: number): void => {
+    const e: Ending = { task, completed: null, durable: null, withdrawn: null, confirmed: null, asked: [] };
+    endings.set(id, e);
+    const around = (): number =>
+      Math.max(
+        0,
+        end - w.time.now + [l.between(-700e3, 0), l.between(0, 5000), l.between(0, 900e3)][l.int(3)]!,
+      );
+    if (l.chance(0.7))
+      m.at(around(), () => w.cancel(id, () => w.node(), () => (e.confirmed ??= w.time.now))); // prettier-ignore
+    for (const node of w.nodes) for (let i = 0; i < 4; i++) m.at(around(), () => w.ask('poll', id, node));
+    for (let i = 0; i < 4; i++) m.at(around(), () => w.ask('submit', id, w.node()));
+    m.at(AHEAD + 10e6, () => judge(e));
+  };
+
+  /** When the job's last task will end; null: that is far off, or not the last. */
+  const look = (): void => {
+    for (const x of w.workers.values())
+      for (const t of x.tasks.values()) {
+        const at = t.key.indexOf('/');
+        const id = t.key.slice(0, at);
+        const job: JobTruth | undefined = w.jobs.get(id);
+        if (t.status !== 'running' || !job || job.shape === 'daemon' || passed.has(id)) continue;
+        const open = job.tasks - (w.rules.completed.get(id)?.size ?? 0);
+        if (job.shape === 'array' && open > 1) continue;
+        const n = Number(t.key.slice(at + 1));
+        const end = t.began + (job.runs?.[n] ?? job.runUs) - (job.progress.get(n) ?? 0);
+        if (end - w.time.now > AHEAD) continue;
+        passed.add(id);
+        if (l.chance(share)) meetEnd(id, n, end);
+      }
+    if (w.time.now < until) m.at(200_000, look);
+  };
+
+  return {
+    begin: () => {
+      w.strike('cancelAtEnd');
+      const lasts = l.between(20e6, 40e6);
+      share = l.between(0.4, 1);
+      const going = w.time.now < until;
+      until = Math.max(until, w.time.now + lasts);
+      for (let i = 0; i < 6; i++)
+        m.at(l.between(0, lasts * 0.6), () => {
+          const gang = l.chance(0.2);
+          const tasks = gang ? 2 : 1 + l.int(2);
+          const job = {
+            ...PLAIN,
+            shape: gang ? 'ensemble' : 'array',
+            tasks,
+            cpus: 1,
+            runUs: l.between(2e6, 9e6),
+          };
+          w.submit({ job, urgency: 'high', due: null }, () => w.node());
+        });
+      if (!going) look();
+    },
+    completed: (task) => {
+      const at = task.indexOf('/');
+      const e = endings.get(task.slice(0, at));
+      if (e && e.task === Number(task.slice(at + 1))) e.completed ??= w.time.now;
+    },
+    committed: (key, value) => {
+      if (value === undefined || endings.size === 0) return;
+      if (key.startsWith(ACTIVE)) {
+        const id = key.slice(ACTIVE.length);
+        const e = endings.get(id);
+        if (e && decodeJob(id, JSON.parse(value), 1).withdrawn) e.withdrawn ??= w.time.now;
+      } else if (key.startsWith(RECORD)) {
+        const { jobs } = decodeRecord(Number(key.slice(RECORD.length)), JSON.parse(value), 1);
+        for (const [id, c] of jobs) {
+          const e = endings.get(id);
+          if (e && c.done?.includes(e.task)) e.durable ??= w.time.now;
+        }
+      }
+    },
+    answered: (asked: Asked, a) => {
+      if (a?.status === 200)
+        endings.get(asked.id)?.asked.push({ ask: asked.ask, began: asked.began, ended: w.time.now });
+    },
+  };
+};
--- /dev/null
+++ b/packages/lab/src/world/meetings/closeLooks.ts
@@ -0,0 +1,72 @@
+import type { Answered, Ask, Asked } from '../history.js';
+import { PLAIN, type Shared, type Trouble } from './stage.js';
+
+/** What users were told right before they ask again. */
+type News = 'accepted' | 'done' | 'aborted';
+/** From the news to a question that counts as asked at once. */
+const AT_ONCE = 10_000;
+
+/**
+ * Right after a job was accepted, ended or confirmed as cancelled, users ask at all controllers, again and again within
+ * milliseconds, and repeat the submission; some cancel at once. Others ask about jobs that were never submitted.
+ */
+export const closeLooks = (m: Shared): Trouble => {
+  const { w } = m;
+  const l = w.luck;
+  let until = 0;
+  const told = new Map<string, News>();
+
+  const count = (asked: Asked, a: Answered | null): void => {
+    m.meet('close look');
+    if (a === null) m.meet('close look without an answer');
+    else if (a.status === 503 || a.status === 429) m.meet(`close look refused by ${a.status}`);
+    else if (a.status === 404 && !w.jobs.has(asked.id)) m.meet('404 in the storm');
+  };
+  const ask = (delay: number, what: Ask, id: string, node: string, then = count): void =>
+    m.at(delay, () => w.ask(what, id, node, then));
+
+  /** `by` has just told it. */
+  const storm = (id: string, news: News, by: string): void => {
+    const at = w.time.now;
+    const then = (asked: Asked, a: Answered | null): void => {
+      count(asked, a);
+      if (a?.status === 200 && asked.node !== by && asked.began - at <= AT_ONCE)
+        m.meet(`${asked.ask === 'submit' ? 'submitted again' : 'asked'} elsewhere, ${news} at once before`);
+    };
+    for (const node of w.nodes)
+      for (const within of [2000, AT_ONCE, 60_000, 500_000])
+        ask(l.between(0, within), 'poll', id, node, then);
+    for (const within of [AT_ONCE, 100_000]) ask(l.between(0, within), 'submit', id, w.node(), then);
+    ask(l.between(0, AT_ONCE), 'poll', `job-8${String(l.int(1e8)).padStart(10, '0')}`, w.node());
+    if (news === 'accepted' && l.chance(0.25))
+      m.at(l.between(0, AT_ONCE), () => w.cancel(id, () => w.node(), () => m.meet('cancelled at once'))); // prettier-ignore
+  };
+
+  return {
+    begin: () => {
+      w.strike('closeLooks');
+      const lasts = l.between(15e6, 30e6);
+      until = Math.max(until, w.time.now + lasts);
+      for (let i = 0; i < 6; i++)
+        m.at(l.between(0, lasts * 0.7), () => {
+          const job = { ...PLAIN, tasks: 1 + l.int(2), cpus: 1, runUs: l.between(1e6, 8e6) };
+          w.submit({ job, urgency: 'high', due: null }, () => w.node());
+        });
+    },
+    answered: (asked, a) => {
+      if (a === null || (a.status !== 200 && a.status !== 201)) return;
+      const { id, node } = asked;
+      const news: News = a.state === 'done' || a.state === 'aborted' ? a.state : 'accepted';
+      const before = told.get(id);
+      if (before !== undefined && (news === 'accepted' || before !== 'accepted')) return;
+      told.set(id, news);
+      if (w.time.now < until) storm(id, news, node);
+    },
+    // Its end is not told yet: questions meet it on its way.
+    completed: (task) => {
+      const id = task.slice(0, task.indexOf('/'));
+      if (w.time.now >= until || w.rules.completed.get(id)?.size !== w.jobs.get(id)?.tasks) return;
+      for (const node of w.nodes) for (let i = 0; i < 6; i++) ask(l.between(0, 900_000), 'poll', id, node);
+    },
+  };
+};
--- a/packages/lab/src/world/meetings/index.ts
+++ b/packages/lab/src/world/meetings/index.ts
@@ -3,6 +3,9 @@
  * with the others of the day, or laid over them by `together`.
  */
 import type { Worker } from '../worker.js';
+import type { Answered, Asked } from '../history.js';
+import { cancelAtEnd } from './cancelAtEnd.js';
+import { closeLooks } from './closeLooks.js';
 import { farEnds } from './farEnds.js';
 import { gap } from './gap.js';
 import { handover } from './handover.js';
@@ -26,6 +29,8 @@
   farEnds,
   heldMachine,
   handover,
+  closeLooks,
+  cancelAtEnd,
 };
 export type Meeting = keyof typeof TROUBLES;
 export const MEETINGS = Object.keys(TROUBLES) as Meeting[];
@@ -86,6 +91,12 @@
   completed(task: string): void {
     for (const t of this.all) t.completed?.(task);
   }
+  answered(asked: Asked, answer: Answered | null): void {
+    for (const t of this.all) t.answered?.(asked, answer);
+  }
+  committed(key: string, value: string | undefined): void {
+    for (const t of this.all) t.committed?.(key, value);
+  }
   reaped(task: string, done: boolean): void {
     for (const t of this.all) t.reaped?.(task, done);
   }
--- a/packages/lab/src/world/meetings/stage.ts
+++ b/packages/lab/src/world/meetings/stage.ts
@@ -1,6 +1,7 @@
 /** What troubles that meet need of the world, and what several of them do. */
 import type { Luck } from '@lilacvalve/controller/support/luck';
 import type { Arrival } from '../crowd.js';
+import type { Answered, Ask, Asked } from '../history.js';
 import type { Rules } from '../rules.js';
 import type { StateService } from '../state.js';
 import type { Time } from '../time.js';
@@ -34,6 +35,8 @@
   giveWay(node: string, forMicros: number): void;
   cut(a: string, b: string, state: 'held' | 'reset', lasts: number): void;
   submit(job: Arrival, via: () => string): string | undefined;
+  /** One request about a job to one controller, beside those of its user. */
+  ask(what: Ask, id: string, node: string, then?: (asked: Asked, a: Answered | null) => void): void;
   cancel(id: string, via: () => string, confirmed: (by: string) => void): void;
 }
 
@@ -49,6 +52,10 @@
   heard?(node: string): void;
   /** A task has completed. */
   completed?(task: string): void;
+  /** An answer to a user's request, or none in time. Not on days on which the state service loses data. */
+  answered?(asked: Asked, answer: Answered | null): void;
+  /** The state service has this now; undefined: the key is deleted. */
+  committed?(key: string, value: string | undefined): void;
   /** A machine was told to forget a task. */
   reaped?(task: string, done: boolean): void;
 }
--- a/packages/lab/src/world/world.ts
+++ b/packages/lab/src/world/world.ts
@@ -19,6 +19,7 @@
 import { calendarOf, Cutoffs } from './cutoffs.js';
 import { coming, LENDING_TEAMS, Loans, Serving, type Step } from './lending.js';
 import { Links, type LinkState } from './links.js';
+import { type Answered, type Ask, type Asked, History, type Open } from './history.js';
 import { type Meeting, Meetings, MEETINGS } from './meetings/index.js';
 import { type Fact, Memory, type Process } from './memory.js';
 import { BY_MEMORY, type Got, Rules } from './rules.js';
@@ -162,6 +163,18 @@
   cpus: 24,
 };
 
+/** What a user's request asks, and about which job. */
+const askedOf = (method: string, path: string, body: string | null): readonly [Ask, string] => {
+  if (path === '/work') return ['submit', String((JSON.parse(body ?? '{}') as { id?: unknown }).id)];
+  const [, , id] = path.split('/');
+  return [method === 'GET' ? 'poll' : 'cancel', id!];
+};
+const answeredOf = (a: Answer): Answered => {
+  if (a.status !== 200 && a.status !== 201) return { status: a.status };
+  const { status, done } = JSON.parse(a.body.toString()) as { status: string; done?: number };
+  return { status: a.status, state: status, done };
+};
+
 /** Calls that change something in the state service. */
 const CHANGES = new Set(['transact', 'grant', 'extend', 'release']);
 /** How long a user waits for an answer to a poll. */
@@ -190,6 +203,10 @@
   readonly state: StateService;
   readonly rules: Rules;
   readonly count: Count;
+  /** Every answer of a day on which nothing is lost: what a loss may take with it, `rules` asks by memory.ts. */
+  readonly history: History | null;
+  /** What was submitted, to be submitted again. */
+  private readonly bodies = new Map<string, string>();
   readonly jobs = new Map<string, JobTruth>();
   readonly begun = new Begun();
   readonly workers = new Map<string, Worker>();
@@ -249,6 +266,7 @@
         ...(troubles.lending ? { teams: LENDING_TEAMS } : {}),
       });
     this.time = new Time(seed, print);
+    this.history = (troubles.losses?.length ?? 0) > 0 ? null : new History();
     this.luck = new Luck(seed);
     this.links = new Links(this.time, this.luck);
     this.state = new StateService(this.time, this.luck, this.links);
@@ -262,6 +280,7 @@
     const records = new Set<string>();
     this.state.onPut = (key, value) => {
       this.count.put(key, value);
+      this.meetings?.committed(key, value);
       // Not even once it is folded and deleted: a late copy of it finds no key, and must not commit.
       if (!key.startsWith(RECORD) || value === undefined || this.lossAt.length > 0) return;
       if (records.has(key)) this.rules.broken.push(`record_rewritten: ${key} at ${this.time.now}`);
@@ -323,6 +342,7 @@
       cut: (a, b, state, lasts) => this.cut(a, b, state, lasts),
       submit: (arrival, via) => this.submit(null, undefined, arrival, via),
       cancel: (id, via, confirmed) => this.cancel(id, via, confirmed),
+      ask: (what, id, node, then) => this.ask(what, id, node, then),
     };
   }
 
@@ -631,10 +651,14 @@
     then: (a: Answer | null, got: Got | undefined) => void,
   ): void {
     let over = false;
+    const [ask, id] = askedOf(method, path, body);
+    const asked = this.history?.begins(ask, id, node, this.time.now);
+    const known = this.rules.asOf(id);
     const finish = (a: Answer | null, got?: Got) => {
       if (over) return;
       over = true;
-      then(a, got);
+      if (asked) this.hold(asked, a);
+      then(a, got && { ...got, known });
     };
     this.time.after(5e6, () => finish(null));
     this.links.send(
@@ -659,6 +683,33 @@
     );
   }
 
+  /** An answer, or none, has come to its user: it is held against all others. */
+  private hold(asked: Open, a: Answer | null): void {
+    const said = a === null ? null : answeredOf(a);
+    if (said !== null) this.rules.broken.push(...this.history!.ends(asked, said, this.time.now));
+    this.meetings?.answered(asked, said);
+  }
+
+  /** One request about a job to one controller, beside those of its user. */
+  private ask(
+    what: Ask,
+    id: string,
+    node: string,
+    then: (asked: Asked, a: Answered | null) => void = () => undefined,
+  ): void {
+    const body = what === 'submit' ? this.bodies.get(id) : null;
+    if (body === undefined) return;
+    const path = what === 'submit' ? '/work' : `/work/${id}${what === 'cancel' ? '/withdraw' : ''}`;
+    if (what === 'cancel') this.rules.askCancel(id);
+    const asked = { ask: what, id, node, began: this.time.now };
+    this.call(node, what === 'poll' ? 'GET' : 'POST', path, body, (a, got) => {
+      const said = a === null ? null : answeredOf(a);
+      if (said !== null && what === 'submit') this.rules.submitted(id, said.status, this.time.now, got);
+      else if (said !== null) this.rules.answered(id, said.status, said.state, this.time.now, said.done, got);
+      then(asked, said);
+    });
+  }
+
   /**
    * An answer leaves a controller now. Of what is changed it tells two others first, or a leader of an end; whoever else
    * says that a job is over has read so, and the leader knows.
@@ -753,6 +804,7 @@
       dueS: crowd?.due ?? null,
     });
     this.rules.specs.set(id, job);
+    this.bodies.set(id, body);
     const attempt = (n: number): void => {
       this.call(via(), 'POST', '/work', body, (a, got) => {
         if (a) this.rules.submitted(id, a.status, this.time.now, got);
