--- a/eslint.config.js
+++ b/eslint.config.js
@@ -8,6 +8,7 @@
   controller: ['base', 'snapshot'],
   lab: ['base', 'snapshot', 'controller'],
   operate: ['base', 'snapshot', 'controller'],
+  scale: ['base', 'controller'],
 };
 const downOnly = Object.entries(MAY_IMPORT).map(([name, allowed]) => ({
   files: [`packages/${name}/**/*.ts`],
--- /dev/null
+++ b/packages/scale/src/scale.ts
@@ -0,0 +1,135 @@
+/**
+ * The scale run: real controller processes beside hollow workers, users, a cloud and a state service on loopback. Run by
+ * `npm run scale`. Exit status 1 when a rule was broken or a controller ended by itself, 2 for bad flags or too few
+ * sockets, 3 when the run would have taken more of the machine than it may.
+ */
+import { endOnClosedPipe } from '@lilacvalve/base/closed-pipe';
+import { Command, InvalidArgumentError, Option } from 'commander';
+import { runChild } from './child.js';
+import { deployedFlags } from './controllers.js';
+import { CHILD_MARK } from './messages.js';
+import { openFilesLimit } from './process-usage.js';
+import { asJson, asTable, progressLine } from './report.js';
+import { type Fault, FAULTS, type RunOptions, ScaleRun } from './run.js';
+
+const wholeNumber = (text: string): number => {
+  const n = Number(text);
+  if (!Number.isInteger(n) || n < 1) throw new InvalidArgumentError('a whole number from 1 on');
+  return n;
+};
+const positive = (text: string): number => {
+  const n = Number(text);
+  if (!Number.isFinite(n) || n <= 0) throw new InvalidArgumentError('a number above 0');
+  return n;
+};
+const share = (text: string): number => {
+  const n = Number(text);
+  if (!(n >= 0 && n <= 1)) throw new InvalidArgumentError('a number from 0 to 1');
+  return n;
+};
+
+/** Under half of the machines that this is meant for, and a few hundred processes. */
+const MOST_MEMORY_MB = 12_000;
+const MOST_PROCESSES = 300;
+/** Each hollow worker has a connection and an address of its own. */
+const FILES_PER_WORKER = 2;
+const FILES_BESIDE = 100;
+const PIPE_PROGRESS_EVERY = 10;
+
+interface Flags extends Omit<RunOptions, 'zones' | 'flags' | 'limits' | 'profileDir'> {
+  readonly zoneCount: number;
+  readonly prof?: string;
+  readonly deploy: string;
+  readonly json?: boolean;
+}
+
+const command = (): Command =>
+  new Command()
+    .name('scale')
+    .description('Real controllers beside hollow workers at a given size, with the rules checked')
+    .option('--machines <n>', 'hollow workers', wholeNumber, 2634)
+    .option('--slots <n>', 'tasks of one CPU that a machine has room for', wholeNumber, 20)
+    .option('--controllers <n>', 'controllers', wholeNumber, 5)
+    .option('--zone-count <n>', 'zones', wholeNumber, 3)
+    .option('--teams <n>', 'teams', wholeNumber, 80)
+    .option('--team-limit <share>', 'part of all room that one team may use', share, 0.1)
+    .option('--starts <n>', 'task starts a second that users ask for', positive, 2400)
+    .option('--run-s <s>', 'seconds that a task runs, give or take a half', positive, 19.4)
+    .option('--tasks <n>', 'tasks of an array', wholeNumber, 1000)
+    .option('--gangs <share>', 'part of the starts in gangs of up to 64', share, 0.05)
+    .option('--urgent <share>', 'part of the starts that is urgent', share, 0.02)
+    .option('--accelerated <share>', 'part of the starts that takes an accelerator', share, 0)
+    .option('--cancelled <share>', 'part of the jobs that their users cancel', share, 0.02)
+    .option('--report-s <s>', 'seconds between two reports of a worker', positive, 2.5)
+    .option('--lease-s <s>', 'seconds of a worker’s lease', positive, 15.25)
+    .option('--cancel-s <s>', 'seconds after which cancelled tasks must be gone', positive, 40.25)
+    .option('--requests-per-s <n>', 'requests that the state service takes a second', positive, 180)
+    .option('--writes-per-s <n>', 'changes that the state service takes a second', positive, 60)
+    .option('--value-kb <n>', 'KiB of one value of the state service', positive, 32)
+    .option('--transaction-ops <n>', 'changes of one transaction', wholeNumber, 24)
+    .option('--cores <n>', 'share of a core, as the controllers’ settings say it', positive, 1)
+    .option('--memory-mb <n>', 'memory, as the controllers’ settings say it', positive, 350)
+    .option('--connections <n>', 'sockets, as the controllers’ settings say it', wholeNumber, 1945)
+    .option('--workers-per-process <n>', 'hollow workers that share a process', wholeNumber, 440)
+    .option('--warmup-s <s>', 'seconds before the measurement', positive, 45)
+    .option('--length-s <s>', 'seconds of the measurement', positive, 45)
+    .addOption(
+      new Option('--fault <fault>', 'after a third of the measurement').choices(FAULTS).default('none'),
+    )
+    .option('--seed <n>', 'seed of the stand-ins', wholeNumber, 1)
+    .option('--program <file>', 'the built controller', 'target/main.cjs')
+    .option('--deploy <file>', 'the deploy file whose interpreter flags are taken', 'deploy/service.toml')
+    .option('--prof <dir>', 'write a processor profile of each controller there')
+    .option('--log-level <level>', 'log level of the controllers', 'error')
+    .option('--json', 'one line of JSON instead of the table');
+
+/** What is wrong with the flags, or with the machine for them; null: nothing. */
+export const refusal = (
+  o: Pick<Flags, 'machines' | 'workersPerProcess' | 'controllers' | 'gangs' | 'urgent' | 'accelerated'>,
+  openFiles: number,
+): string | null => {
+  if (o.gangs + o.urgent + o.accelerated > 1)
+    return '--gangs, --urgent and --accelerated are over 1 together';
+  const workers = Math.min(o.machines, o.workersPerProcess);
+  const files = workers * FILES_PER_WORKER + FILES_BESIDE;
+  if (files > openFiles)
+    return `${workers} workers in one process need ${files} sockets, and ${openFiles} may be open: lower --workers-per-process or raise the limit`;
+  const processes = Math.ceil(o.machines / o.workersPerProcess) + o.controllers + 2;
+  if (processes > MOST_PROCESSES) return `${processes} processes, at most ${MOST_PROCESSES}`;
+  return null;
+};
+
+const reportProgress = (): ((progress: Parameters<typeof progressLine>[0]) => void) => {
+  let lines = 0;
+  return (progress) => {
+    const line = progressLine(progress);
+    if (process.stderr.isTTY) process.stderr.write(`\r${line}\u001b[K`);
+    else if (lines++ % PIPE_PROGRESS_EVERY === 0) process.stderr.write(`${line}\n`);
+  };
+};
+
+const main = async (): Promise<void> => {
+  endOnClosedPipe();
+  const cli = command().parse();
+  const flags = cli.opts<Flags>();
+  const refused = refusal(flags, openFilesLimit());
+  if (refused !== null) cli.error(`scale: ${refused}`, { exitCode: 2 });
+  const { zoneCount, prof, deploy, json, ...rest } = flags;
+  const options: RunOptions = {
+    ...rest,
+    fault: rest.fault as Fault,
+    zones: Array.from({ length: zoneCount }, (_, i) => `zone-${i}`),
+    flags: deployedFlags(deploy),
+    ...(prof === undefined ? {} : { profileDir: prof }),
+    limits: { memoryMb: MOST_MEMORY_MB, processes: MOST_PROCESSES },
+  };
+  const result = await new ScaleRun(options, __filename, reportProgress()).play();
+  if (process.stderr.isTTY) process.stderr.write('\n');
+  process.stdout.write(json === true ? asJson(result) : asTable(result));
+  if (result.stopped !== null) process.exitCode = 3;
+  else if (result.violations.length > 0 || result.unexpectedEnds.length > 0) process.exitCode = 1;
+  setTimeout(() => process.exit(), 200);
+};
+
+if (process.env[CHILD_MARK] === undefined) void main();
+else runChild();
