--- a/packages/controller/src/accounts/codec.ts
+++ b/packages/controller/src/accounts/codec.ts
@@ -42,6 +42,8 @@
   while (us.length > 0 && us[us.length - 1] === 0) us.pop();
   return [...r.group, ...r.shape, r.rate, ...us];
 };
+/** Bytes of a row in a record, with the sign after it. */
+export const bytesOfRow = (r: SpentRow): number => JSON.stringify(wireRow(r)).length + 1;
 /** Bytes of a row in a record, at the most. */
 export const rowBytes = (group: Group): number => JSON.stringify(group).length + 130;
 
--- a/packages/controller/src/accounts/spent.ts
+++ b/packages/controller/src/accounts/spent.ts
@@ -3,7 +3,7 @@
 import type { MachineType } from '../fleet/model.js';
 import type { Job } from '../jobs/model.js';
 import { taskKey } from '../jobs/model.js';
-import { rowBytes } from './codec.js';
+import { bytesOfRow, rowBytes } from './codec.js';
 import { type Group, groupKey, NO_KIND, type RoomBound, type SpentRow, SPLITS } from './model.js';
 import type { Course, Phases } from './phases.js';
 
@@ -88,7 +88,7 @@
 /** Gathers the rows of one record. */
 export class Spending {
   private readonly rows = new Map<string, SpentRow[]>();
-  /** Bytes of the rows, at the most. */
+  /** Bytes of the rows as they stand. */
   bytes = 0;
 
   constructor(
@@ -126,7 +126,7 @@
     for (const t of tasks) {
       const p = job.placed.get(t);
       if (!p) continue;
-      const { key, group, make } = this.rowOf(job, p.machine);
+      const { key, make } = this.rowOf(job, p.machine);
       const ended = how === 'gone' && job.withdrawn ? 'withdrawn' : how;
       let us: number[];
       if (p.since > 0 && p.since < at) {
@@ -143,10 +143,10 @@
       // A row more where a number would pass what is exact.
       if (!last || last.us.some((x, i) => x + us[i]! > Number.MAX_SAFE_INTEGER)) {
         list.push((last = make()));
-        this.bytes += rowBytes(group);
-      }
+      } else this.bytes -= bytesOfRow(last);
       const sums = last.us as number[];
       us.forEach((x, i) => (sums[i] = sums[i]! + x));
+      this.bytes += bytesOfRow(last);
     }
   }
 
--- a/packages/controller/src/reign/session.ts
+++ b/packages/controller/src/reign/session.ts
@@ -24,7 +24,7 @@
 import { tendWards } from '../rebuild/wards.js';
 import { Largest, largestDuty } from '../scheduler/largest.js';
 import { summary, turn } from '../scheduler/duty.js';
-import { upkeep } from '../scheduler/records.js';
+import { upkeep } from '../scheduler/upkeep.js';
 import { Waits } from '../scheduler/waits.js';
 import type { CycleView, Turn } from '../scheduler/turn.js';
 import type { Settings } from '../settings/settings.js';
@@ -49,11 +49,14 @@
 const TEND_EVERY_MS = 1000;
 const NO_NEWS: FleetNews = { rented: [], removed: [] };
 
-/** From the end of a turn to the next one's begin, after one over so many machines that computed for `costMs`. */
-export const turnGapMs = (machines: number, costMs: number): number =>
+/**
+ * From the end of a turn to the next one's begin, after one over so many machines that computed for `costMs`. One that has
+ * left something `behind` for want of room in its records is followed sooner, as far as its computing allows.
+ */
+export const turnGapMs = (machines: number, costMs: number, behind = false): number =>
   Math.max(
     TURN_GAP_MS,
-    Math.min(LONG_GAP_MS, Math.round(machines * GAP_MS_A_MACHINE)),
+    behind ? 0 : Math.min(LONG_GAP_MS, Math.round(machines * GAP_MS_A_MACHINE)),
     costMs * (1 / TURN_PART - 1),
   );
 
@@ -193,7 +196,7 @@
         waits: new Waits(),
         largest: new Largest(p.cache.largest),
       };
-      const view: CycleView = { result: null, surplus: new Set(), companions: [], cost: 0 };
+      const view: CycleView = { result: null, surplus: new Set(), companions: [], cost: 0, behind: false };
       const gate = new Gate(p.clock);
       this.desk = {
         book,
@@ -213,7 +216,7 @@
           Effect.ensuring(Effect.sync(() => gate.open())),
         );
         if (t.acting()) yield* sendUrgent(book, p.workers, p.admission);
-        yield* Effect.sleep(turnGapMs(book.machines.size, toMillis(view.cost)));
+        yield* Effect.sleep(turnGapMs(book.machines.size, toMillis(view.cost), view.behind));
       }).pipe(Effect.forever);
       const tidy = duty('upkeep', upkeep(t).pipe(Effect.zipRight(tick(UPKEEP_GAP_MS)), Effect.forever));
       const report = duty(
--- a/packages/controller/src/scheduler/duty.ts
+++ b/packages/controller/src/scheduler/duty.ts
@@ -11,7 +11,7 @@
 import { loansMade } from '../lending/record.js';
 import { schedule } from './cycle.js';
 import { add, type CycleInput, type CycleResult, type QueuedJob, type Room, type Stop } from './model.js';
-import { commit } from './records.js';
+import { commit } from './commit.js';
 import { surplusOf } from './surplus.js';
 import type { CycleView, Turn } from './turn.js';
 import { companionsOf, holdersOf, lendingOf, nodesOf, queuedOf, weightsOf } from './views.js';
@@ -134,7 +134,8 @@
     for (const s of result.stops) if (s.taker === undefined) stop(t, s, at);
     if (result.stops.length > 0)
       yield* info('stops for others', { term: t.reign.term, tasks: result.stops.length });
-    const lent = yield* commit(t, result.starts, result.stops);
+    const { lent, behind } = yield* commit(t, result.starts, result.stops);
+    view.behind = behind;
     // Whoever reads the store knows of these loans before anybody is told to stop.
     for (const s of lent) stop(t, s, t.clock());
     for (const { taker, lend } of loansMade(lent))
--- a/packages/controller/src/scheduler/turn.ts
+++ b/packages/controller/src/scheduler/turn.ts
@@ -51,4 +51,6 @@
   companions: readonly Companion[];
   /** How long the last turn computed. */
   cost: number;
+  /** The last turn left something to be recorded for the next one. */
+  behind: boolean;
 }
--- /dev/null
+++ b/packages/controller/src/scheduler/upkeep.ts
@@ -0,0 +1,134 @@
+/** Tidies up what older records and jobs that are over leave behind. Every write is conditional on the term. */
+import { Effect } from 'effect';
+import { info } from '@lilacvalve/base/log';
+import { checkpointWrites, joinOld, writePage } from '../accounts/upkeep.js';
+import { tallying, tendCalendar } from '../calendar/duty.js';
+import { encodeFinal, encodeJob } from '../jobs/codec.js';
+import { ACCOUNTS, activeKey, asKnown, finalKey, recordKey, TERM } from '../jobs/keys.js';
+import { finalState, type Job } from '../jobs/model.js';
+import { Priority } from '../state-store/budget.js';
+import type { Condition, Write } from '../state-store/client.js';
+import { settle } from './settle.js';
+import type { Turn } from './turn.js';
+
+/**
+ * Records to keep before their jobs are folded. Most jobs are over before their first record is the oldest
+ * of so many: then only the record is to be deleted, and the job's key is never written again on its account.
+ */
+const TAIL = 160;
+/** Changes in one transaction of upkeep: larger ones would have to wait longer for their part of the budget. */
+const UPKEEP_OPS = 8;
+
+/** Moves jobs that are over to their final keys. Whoever writes a job's key first, withdrawal or this, wins. */
+const finish = (t: Turn) =>
+  Effect.gen(function* () {
+    const over: Job[] = [];
+    for (const job of t.cache.jobs.values()) {
+      if (finalState(job) !== null && !t.book.ends.has(job.spec.id)) over.push(job);
+      // Two changes each, and a third where a pack lists it.
+      const each = t.cache.packOf.size > 0 ? 3 : 2;
+      // A tied job's occurrence has a count, which changes too.
+      const tied = over.reduce((n, j) => n + (j.spec.tie === null ? 0 : 1), 0);
+      if ((over.length + 1) * each + tied > Math.min(t.settings.state.txnOps, each === 3 ? 12 : UPKEEP_OPS))
+        break;
+    }
+    if (over.length === 0) return false;
+    const finals = over.map((job) => ({ job, id: job.spec.id, stamp: job.stamp, final: finalState(job)! }));
+    const when: Condition[] = [{ key: TERM, stamp: t.reign.stamp }];
+    const then: Write[] = [];
+    for (const f of finals) {
+      when.push({ key: activeKey(f.id), stamp: f.stamp });
+      then.push({ delete: activeKey(f.id) }, { set: finalKey(f.id), value: encodeFinal(f.final) });
+    }
+    const packs = t.cache.unpacking(finals.map((f) => f.id));
+    const counts = tallying(t.cache, finals);
+    when.push(...packs.when, ...counts.when);
+    then.push(...packs.then, ...counts.then);
+    const first = finals[0]!;
+    const probe = first.stamp > 0 ? activeKey(first.id) : (t.cache.packOf.get(first.id) ?? '');
+    const outcome = yield* settle(t, when, then, probe, Priority.Upkeep);
+    if (outcome === null) return true;
+    // Applied or not, the watch's view decides what became of each job.
+    yield* Effect.ignore(t.feed.refresh);
+    if (outcome.ok)
+      for (const f of finals) {
+        yield* info('job over', { job: f.id, status: f.final.status });
+        for (const [lender, l] of f.job.loans) {
+          const ended = { taker: f.id, lender, gpus: l.gpus / 1000, reason: 'taker over' };
+          yield* info('loan ended', { term: t.reign.term, ...ended });
+        }
+      }
+    return true;
+  });
+
+/** Shortens the tail: writes the jobs of the oldest records into their own keys, then deletes the records. */
+const fold = (t: Turn) =>
+  Effect.gen(function* () {
+    if (t.cache.tail.size <= (t.settings.state.tail ?? TAIL)) return;
+    const upTo = t.cache.lastSeq;
+    const ops = t.settings.state.txnOps;
+    const { checkpoint, accounts } = t.cache;
+    // No record goes whose rows the checkpoint lacks. It is written once in so many records: the next ones can go by it.
+    const checked: Condition = { key: ACCOUNTS, stamp: checkpoint.stamp };
+    const when: Condition[] = [{ key: TERM, stamp: t.reign.stamp }, checked];
+    const then: Write[] = [];
+    const jobs = new Set<Job>();
+    let bytes = 0;
+    const seqs = [...t.cache.tail.keys()].sort((a, b) => a - b).slice(0, -1);
+    if (seqs[0]! > checkpoint.upTo) {
+      then.push(...checkpointWrites(t, accounts));
+      bytes = JSON.stringify(then).length;
+    }
+    const covered = then.length > 0 ? accounts.upTo : checkpoint.upTo;
+    for (const seq of seqs) {
+      if (seq > covered) break;
+      const more: Job[] = [];
+      for (const id of t.cache.tail.get(seq)!.jobs.keys()) {
+        const job = t.cache.jobs.get(id);
+        if (job && job.folded < seq && !jobs.has(job)) more.push(job);
+      }
+      if (then.length + more.length + 1 > Math.min(ops, UPKEEP_OPS) && then.length > 0) break;
+      const writes: Write[] = more.map((job) => ({
+        set: activeKey(job.spec.id),
+        // This view has every record up to the withdrawal. One that completes the job while this write is on its way must not
+        // look as if it had come first, by the key's new revision: what users were told is cancelled would be done.
+        value: encodeJob({ ...job, withdrawnFirst: job.withdrawn }, upTo),
+      }));
+      const size = JSON.stringify(writes).length;
+      if (bytes + size > 48 * 1024 && then.length > 0) break;
+      if (then.length + writes.length + 1 > ops) {
+        // More jobs than one transaction takes: fold some, the record goes later.
+        const some = writes.slice(0, ops);
+        then.push(...some);
+        for (const job of more.slice(0, ops)) when.push(...asKnown(job.spec.id, job.stamp));
+        break;
+      }
+      bytes += size;
+      then.push(...writes, { delete: recordKey(seq) });
+      for (const job of more) {
+        jobs.add(job);
+        when.push(...asKnown(job.spec.id, job.stamp));
+      }
+    }
+    if (then.length === 0) return;
+    const outcome = yield* settle(t, when, then, '', Priority.Upkeep);
+    if (outcome === null) return;
+    const read = yield* Effect.isSuccess(t.feed.refresh);
+    if (
+      read &&
+      !outcome.ok &&
+      outcome.failed.includes(ACCOUNTS) &&
+      t.cache.checkpoint.stamp === checked.stamp
+    )
+      t.doubt.raise('key lost', `${ACCOUNTS} is not as it was`);
+  });
+
+/** Closes jobs that are over and shortens the tail, beside the turns: these must not wait for its writes. */
+export const upkeep = (t: Turn): Effect.Effect<void> =>
+  Effect.gen(function* () {
+    if (!t.acting()) return;
+    yield* tendCalendar(t);
+    if (yield* finish(t)) return;
+    if (t.acting()) yield* fold(t);
+    if (t.acting() && !(yield* writePage(t))) yield* joinOld(t);
+  }).pipe(Effect.ignore);
--- a/packages/controller/test/late-writes.test.ts
+++ b/packages/controller/test/late-writes.test.ts
@@ -24,7 +24,8 @@
   wardKey,
 } from '../src/jobs/keys.js';
 import { Gathered, rebuild, writeBack } from '../src/rebuild/duty.js';
-import { commit, upkeep } from '../src/scheduler/records.js';
+import { commit } from '../src/scheduler/commit.js';
+import { upkeep } from '../src/scheduler/upkeep.js';
 import type { Start } from '../src/scheduler/model.js';
 import type { Turn } from '../src/scheduler/turn.js';
 import { restore } from '../src/snapshots/restore.js';
