--- a/packages/controller/test/draft.test.ts
+++ b/packages/controller/test/draft.test.ts
@@ -13,7 +13,19 @@
 import { calm, fresh, kept, SETTINGS } from './support/late-store.js';
 import { Luck } from './support/luck.js';
 
-const { valueBytes, txnOps } = SETTINGS.state;
+type StateLimits = (typeof SETTINGS)['state'];
+interface Case {
+  readonly state: StateLimits;
+  readonly jobs: number;
+  /** Tasks of the largest arrays. */
+  readonly tasks: number;
+}
+/** Values are the limit, then the transaction, then the rows of many small jobs and their conditions. */
+const CASES: readonly Case[] = [
+  { state: SETTINGS.state, jobs: 60, tasks: 1500 },
+  { state: { ...SETTINGS.state, valueBytes: 32_768, txnOps: 24 }, jobs: 60, tasks: 1500 },
+  { state: SETTINGS.state, jobs: 400, tasks: 4 },
+];
 const TRANSACTION_BYTES = 64 * 1024;
 const MACHINES = 400;
 
@@ -21,16 +33,16 @@
   readonly when: readonly Condition[];
   readonly then: readonly Write[];
 }
-const jobOf = (id: number, luck: Luck): Job => {
+const jobOf = (id: number, most: number, luck: Luck): Job => {
   const gang = luck.int(4) === 0;
   const spec = fresh(`job-${id}`).spec;
   const job = fresh(`job-${id}`, {
     spec: {
       ...spec,
       team: `team-${id % 80}`,
-      jobClass: `class-${id % 5}`,
+      jobClass: `class-${id % 7}`,
       shape: gang ? 'gang' : 'array',
-      tasks: gang ? 1 + luck.int(64) : 1 + luck.int(1500),
+      tasks: 1 + luck.int(gang ? Math.min(64, most) : most),
     },
   });
   // Half of them run already, as far as one value of the store holds that.
@@ -51,7 +63,7 @@
 const tasksOf = (s: Start): number => [...s.on.values()].reduce((n, tasks) => n + tasks.length, 0);
 
 /** The turn of a controller that leads, and every transaction that it sends. */
-const leading = (jobs: readonly Job[]) => {
+const leading = (jobs: readonly Job[], state: StateLimits) => {
   const c = calm(jobs.map(kept));
   const sent: Sent[] = [];
   const { store } = c.turn;
@@ -60,7 +72,7 @@
     sent.push({ when, then });
     return store.transact(when, then, ...rest);
   };
-  const turn: Turn = { ...c.turn, store: spy };
+  const turn: Turn = { ...c.turn, store: spy, settings: { ...SETTINGS, state } };
   const committed = (starts: readonly Start[]): Committed => {
     let out: Committed | null = null;
     c.go(Effect.map(commit(turn, starts), (x) => (out = x)));
@@ -69,22 +81,33 @@
   return { ...c, turn, sent, committed };
 };
 
-const checkLimits = ({ when, then }: Sent): void => {
+const checkLimits = ({ when, then }: Sent, { valueBytes, txnOps }: StateLimits): void => {
   const written = then.map((w) => JSON.stringify('set' in w ? w.value : '').length);
   for (const n of written) assert.ok(n <= valueBytes, `a value of ${n} bytes`);
   const all = JSON.stringify({ when: when.map(({ key, stamp }) => ({ k: key, stamp })), then });
   assert.ok(all.length <= TRANSACTION_BYTES, `a transaction of ${all.length} bytes`);
   assert.ok(when.length < txnOps * 4, `${when.length} conditions`);
   assert.ok(then.length <= txnOps);
+  // The accounts' rows are booked once, and times of records only grow.
+  const heads = then.map((w) =>
+    'set' in w ? (w.value as { '@': { t: number; s?: unknown } })['@'] : { t: 0 },
+  );
+  for (const [i, head] of heads.entries()) {
+    if (i === 0) continue;
+    assert.ok(head.t > heads[i - 1]!.t);
+    assert.equal(head.s, undefined);
+  }
 };
 
 // At 80 teams a turn's ends and the accounts' rows filled its record, and nothing was started for as long as that went on.
 test('what does not fit into one record goes into further ones of the same transaction, within its limits', () => {
   const seen = { several: 0, cut: 0, behind: 0 };
-  for (let seed = 1; seed <= 3; seed++) {
-    const luck = new Luck(seed);
-    const jobs = Array.from({ length: 60 }, (_, i) => jobOf(i + 1, luck));
-    const l = leading(jobs);
+  for (const [seed, { state, jobs, tasks }] of CASES.entries()) {
+    const luck = new Luck(seed + 1);
+    const l = leading(
+      Array.from({ length: jobs }, (_, i) => jobOf(i + 1, tasks, luck)),
+      state,
+    );
     const { cache } = l.node;
     const ended = new Map<string, number>();
     for (const job of cache.jobs.values()) {
@@ -94,7 +117,7 @@
       l.turn.book.ends.set(job.spec.id, { done: new Set(done), gone: new Set(), failed: new Set() });
       ended.set(job.spec.id, done.length);
     }
-    for (let turn = 0; turn < 60; turn++) {
+    for (let turn = 0; turn < 80; turn++) {
       const starts = [...cache.jobs.values()]
         .filter((j) => (j.spec.shape === 'gang' ? j.placed.size + j.done.size === 0 : true))
         .map((j) => startOf(j, luck))
@@ -102,7 +125,7 @@
       if (starts.length === 0 && l.turn.book.ends.size === 0) break;
       const before = new Map([...cache.jobs].map(([id, j]) => [id, j.placed.size + j.done.size]));
       const { behind } = l.committed(starts);
-      checkLimits(l.sent.at(-1)!);
+      checkLimits(l.sent.at(-1)!, state);
       seen.several += l.sent.at(-1)!.then.length > 1 ? 1 : 0;
       seen.behind += behind ? 1 : 0;
       for (const s of starts) {
