--- a/packages/controller/test/draft.test.ts
+++ b/packages/controller/test/draft.test.ts
@@ -112,8 +112,8 @@
     const ended = new Map<string, number>();
     for (const job of cache.jobs.values()) {
       if (job.placed.size === 0) continue;
-      const done =
-        job.spec.shape === 'gang' ? [...job.placed.keys()] : [...job.placed.keys()].slice(luck.int(50));
+      const placed = [...job.placed.keys()];
+      const done = job.spec.shape === 'gang' ? placed : placed.slice(luck.int(Math.ceil(placed.length / 4)));
       l.turn.book.ends.set(job.spec.id, { done: new Set(done), gone: new Set(), failed: new Set() });
       ended.set(job.spec.id, done.length);
     }
--- a/packages/scale/src/controllers.ts
+++ b/packages/scale/src/controllers.ts
@@ -83,29 +83,39 @@
     },
   });
 
-const freePort = (): Promise<number> =>
+/** Below the ports that systems give to outgoing connections: a hollow worker's must not take a controller's. */
+const PORTS = { from: 12_000, to: 32_000 };
+
+const isFree = (port: number): Promise<boolean> =>
   new Promise((done) => {
     const server = net.createServer();
-    server.listen(0, '127.0.0.1', () => {
-      const { port } = server.address() as net.AddressInfo;
-      server.close(() => done(port));
-    });
+    server.on('error', () => done(false));
+    server.listen(port, '127.0.0.1', () => server.close(() => done(true)));
   });
 
+/** Ports that nobody listens on, other ones in each run at the same time. */
+const freePorts = async (count: number): Promise<number[]> => {
+  const out: number[] = [];
+  const span = PORTS.to - PORTS.from;
+  for (let port = PORTS.from + ((process.pid * 61) % span); out.length < count; port++) {
+    const candidate = PORTS.from + ((port - PORTS.from) % span);
+    if (await isFree(candidate)) out.push(candidate);
+  }
+  return out;
+};
+
 /** So many controllers, in the zones by turns. */
 export const controllerAddresses = async (
   count: number,
   zones: readonly string[],
 ): Promise<ControllerAddress[]> => {
-  const out: ControllerAddress[] = [];
-  for (let i = 0; i < count; i++)
-    out.push({
-      label: `node-${i}`,
-      zone: zones[i % zones.length]!,
-      listen: `127.0.0.1:${await freePort()}`,
-      peer: `127.0.0.1:${await freePort()}`,
-    });
-  return out;
+  const ports = await freePorts(count * 2);
+  return Array.from({ length: count }, (_, i) => ({
+    label: `node-${i}`,
+    zone: zones[i % zones.length]!,
+    listen: `127.0.0.1:${ports[2 * i]!}`,
+    peer: `127.0.0.1:${ports[2 * i + 1]!}`,
+  }));
 };
 
 /** The interpreter's flags with which a platform starts the program: they decide as much as the code does. */
--- a/packages/scale/src/report.ts
+++ b/packages/scale/src/report.ts
@@ -23,7 +23,7 @@
   const perS = (n: number): string => (n / r.lengthS).toFixed(1);
   return [
     row('measured', `${r.lengthS.toFixed(0)} s, ${r.machines} machines, ${r.tasksHeld} tasks held`),
-    row('task starts, ends', `${r.startsPerS.toFixed(0)}, ${r.endsPerS.toFixed(0)} a second`),
+    row('task starts, ends', `${r.startsPerS.toFixed(0)}, ${r.endsPerS.toFixed(0)} a second; longest pause without a start ${(r.longestPauseMs / 1000).toFixed(2)} s`), // prettier-ignore
     row('urgent work waits', `${percentiles(r.users.urgentWaitMs)} (${r.users.urgentStarted} of ${r.users.urgentTasks} tasks started)`), // prettier-ignore
     row('answers to reports', `${percentiles(r.answerMs)}; ${perS(counters.reports)} reports a second`),
     row('reports not answered', `${counters.unanswered} without, ${counters.refused} refused`),
@@ -52,6 +52,7 @@
     tasksHeld: r.tasksHeld,
     startsPerS: r.startsPerS,
     endsPerS: r.endsPerS,
+    longestPauseMs: r.longestPauseMs,
     urgentWait: percentileFields(r.users.urgentWaitMs),
     urgentTasks: r.users.urgentTasks,
     urgentStarted: r.users.urgentStarted,
--- a/packages/scale/src/run.ts
+++ b/packages/scale/src/run.ts
@@ -13,7 +13,7 @@
 import { EventOrder } from './event-order.js';
 import { GangBoard } from './gang-board.js';
 import { HttpLine } from './http-line.js';
-import { serveJson } from './json-server.js';
+import { type JsonServer, serveJson } from './json-server.js';
 import type { FromChild } from './messages.js';
 import type { MachineDescription, WorkerCommand } from './model.js';
 import { type ProcessUsage, usageOf } from './process-usage.js';
@@ -67,6 +67,8 @@
   readonly tasksHeld: number;
   readonly startsPerS: number;
   readonly endsPerS: number;
+  /** The longest time without any start. */
+  readonly longestPauseMs: number;
   readonly workers: WorkerFigures;
   readonly answerMs: Histogram;
   /** Bytes a second of one worker, both directions, headers included. */
@@ -112,6 +114,7 @@
   private stateAddress = '';
   private controllers: ControllerProcess[] = [];
   private cloud!: Cloud;
+  private cloudServer: JsonServer | null = null;
   private truth!: Truth;
   private users!: Users;
   private gangs!: GangBoard;
@@ -172,7 +175,7 @@
       up: (machine) => this.machineUp(machine),
       down: (id) => this.hostOf.get(id)?.send({ kind: 'command', command: { kind: 'machine-down', id } }),
     });
-    const cloudServer = await serveJson((request, respond) => this.cloud.handle(request, respond));
+    this.cloudServer = await serveJson((request, respond) => this.cloud.handle(request, respond));
     this.state = new RunChild(this.childProgram);
     const limits = { requestsPerS: o.requestsPerS, writesPerS: o.writesPerS };
     this.stateAddress = (await this.state.setUp({ role: 'state', limits }))!;
@@ -191,7 +194,7 @@
       }),
     );
     const settings: ClusterSettings = {
-      cloud: cloudServer.address,
+      cloud: this.cloudServer.address,
       state: this.stateAddress,
       zones: o.zones,
       teams,
@@ -334,6 +337,7 @@
     const stateBefore = await this.stateCounts();
     const cloudBefore = this.cloud.calls;
     const startedBefore = this.truth.started;
+    this.truth.longestPauseMs = 0;
     const completedBefore = this.truth.completed;
     const began = nowMs();
     await this.wait('measuring', o.lengthS * FAULT_AT);
@@ -354,6 +358,7 @@
       tasksHeld: workers.tasksHeld,
       startsPerS: (this.truth.started - startedBefore) / lengthS,
       endsPerS: (this.truth.completed - completedBefore) / lengthS,
+      longestPauseMs: Math.round(this.truth.longestPauseMs),
       workers,
       answerMs: unpackHistogram(workers.answerMs),
       workerBytesPerS: {
@@ -393,6 +398,7 @@
     for (const c of this.controllers) c.kill('SIGTERM');
     await Promise.all(this.controllers.map((c) => c.ended(STOP_WITHIN_MS)));
     this.cloud?.end();
+    this.cloudServer?.close();
     this.gangs?.end();
     for (const child of [...this.workers, ...(this.state === undefined ? [] : [this.state])]) child.end();
   }
--- a/packages/scale/src/scale.ts
+++ b/packages/scale/src/scale.ts
@@ -9,6 +9,7 @@
 import { deployedFlags } from './controllers.js';
 import { CHILD_MARK } from './messages.js';
 import { openFilesLimit } from './process-usage.js';
+import { MOST_MEMORY_MB, MOST_PROCESSES, refusal } from './refusal.js';
 import { asJson, asTable, progressLine } from './report.js';
 import { type Fault, FAULTS, type RunOptions, ScaleRun } from './run.js';
 
@@ -28,12 +29,6 @@
   return n;
 };
 
-/** Under half of the machines that this is meant for, and a few hundred processes. */
-const MOST_MEMORY_MB = 12_000;
-const MOST_PROCESSES = 300;
-/** Each hollow worker has a connection and an address of its own. */
-const FILES_PER_WORKER = 2;
-const FILES_BESIDE = 100;
 const PIPE_PROGRESS_EVERY = 10;
 
 interface Flags extends Omit<RunOptions, 'zones' | 'flags' | 'limits' | 'profileDir'> {
@@ -83,22 +78,6 @@
     .option('--log-level <level>', 'log level of the controllers', 'error')
     .option('--json', 'one line of JSON instead of the table');
 
-/** What is wrong with the flags, or with the machine for them; null: nothing. */
-export const refusal = (
-  o: Pick<Flags, 'machines' | 'workersPerProcess' | 'controllers' | 'gangs' | 'urgent' | 'accelerated'>,
-  openFiles: number,
-): string | null => {
-  if (o.gangs + o.urgent + o.accelerated > 1)
-    return '--gangs, --urgent and --accelerated are over 1 together';
-  const workers = Math.min(o.machines, o.workersPerProcess);
-  const files = workers * FILES_PER_WORKER + FILES_BESIDE;
-  if (files > openFiles)
-    return `${workers} workers in one process need ${files} sockets, and ${openFiles} may be open: lower --workers-per-process or raise the limit`;
-  const processes = Math.ceil(o.machines / o.workersPerProcess) + o.controllers + 2;
-  if (processes > MOST_PROCESSES) return `${processes} processes, at most ${MOST_PROCESSES}`;
-  return null;
-};
-
 const reportProgress = (): ((progress: Parameters<typeof progressLine>[0]) => void) => {
   let lines = 0;
   return (progress) => {
--- a/packages/scale/src/truth.ts
+++ b/packages/scale/src/truth.ts
@@ -60,6 +60,9 @@
   readonly violations: Violation[] = [];
   started = 0;
   completed = 0;
+  /** The longest time between two starts, milliseconds, since it was last set to 0. */
+  longestPauseMs = 0;
+  private startedAt = 0;
   private readonly jobs = new Map<string, JobTruth>();
   private readonly machineOf = new Map<string, string>();
   private readonly attemptOn = new Map<string, string>();
@@ -165,6 +168,8 @@
   private start(job: JobTruth, name: string, event: WorkerEvent): void {
     const { description } = job;
     this.started++;
+    if (this.startedAt > 0) this.longestPauseMs = Math.max(this.longestPauseMs, event.at - this.startedAt);
+    this.startedAt = event.at;
     const other = this.machineOf.get(name);
     if (other !== undefined) this.violate('ran_twice', `${name} on ${other} and ${event.machine}`);
     this.machineOf.set(name, event.machine);
--- /dev/null
+++ b/packages/scale/test/scale.test.ts
@@ -0,0 +1,79 @@
+/** A tiny scale run against the built program, and what its command refuses. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { runChild } from '../src/child.js';
+import { deployedFlags } from '../src/controllers.js';
+import { CHILD_MARK } from '../src/messages.js';
+import { refusal } from '../src/refusal.js';
+import { asJson, asTable } from '../src/report.js';
+import { exceeded } from '../src/resource-guard.js';
+import { type RunOptions, ScaleRun } from '../src/run.js';
+
+const TINY: RunOptions = {
+  machines: 10,
+  slots: 4,
+  zones: ['zone-0', 'zone-1'],
+  teams: 4,
+  starts: 5,
+  runS: 3,
+  tasks: 12,
+  gangs: 0.2,
+  urgent: 0.2,
+  accelerated: 0,
+  cancelled: 0.1,
+  teamLimit: 0.6,
+  controllers: 3,
+  reportS: 1,
+  leaseS: 8,
+  cancelS: 25,
+  requestsPerS: 180,
+  writesPerS: 60,
+  valueKb: 32,
+  transactionOps: 24,
+  cores: 1,
+  memoryMb: 350,
+  connections: 500,
+  workersPerProcess: 5,
+  warmupS: 12,
+  lengthS: 15,
+  seed: 1,
+  fault: 'kill-leader',
+  program: 'target/main.cjs',
+  flags: deployedFlags('deploy/service.toml'),
+  logLevel: 'error',
+  limits: { memoryMb: 4000, processes: 20 },
+};
+
+const tests = (): void => {
+  test('a tiny run goes on when its leader is killed, and breaks no rule', async () => {
+    const result = await new ScaleRun(TINY, __filename, () => undefined).play();
+    assert.deepEqual(result.violations, []);
+    assert.deepEqual(result.unexpectedEnds, []);
+    assert.equal(result.stopped, null);
+    assert.ok(result.startsPerS > 1, `${result.startsPerS} starts a second`);
+    assert.ok(result.users.done > 0, 'jobs come to their end');
+    assert.ok(result.workers.counters.renewed > 0);
+    assert.ok(result.workerBytesPerS.median > 50);
+    assert.equal(result.roles.length, 5);
+    assert.match(asTable(result), /rules broken +none/);
+    assert.equal((JSON.parse(asJson(result)) as { machines: number }).machines, result.machines);
+  });
+
+  test('flags that make no run, too few sockets and too many processes are refused with a reason', () => {
+    assert.equal(refusal(TINY, 20_000), null);
+    assert.match(refusal({ ...TINY, gangs: 0.9, urgent: 0.2 }, 20_000)!, /over 1 together/);
+    assert.match(refusal({ ...TINY, machines: 5000, workersPerProcess: 5000 }, 1024)!, /need 10100 sockets/);
+    assert.match(
+      refusal({ ...TINY, machines: 5000, workersPerProcess: 10 }, 20_000)!,
+      /processes, at most 300/,
+    );
+    const limits = { memoryMb: 100, processes: 3 };
+    assert.equal(exceeded({ memoryMb: 100, processes: 3 }, limits), null);
+    assert.match(exceeded({ memoryMb: 101, processes: 3 }, limits)!, /101 MB/);
+    assert.match(exceeded({ memoryMb: 1, processes: 4 }, limits)!, /4 processes/);
+  });
+};
+
+// Hollow workers and the state service run in children of this very file.
+if (process.env[CHILD_MARK] === undefined) tests();
+else runChild();
