Cycle: a refill ends once it has filled what a turn can record

Under a backlog the cycle placed tens of thousands of tasks on free room at each turn, of which two or three thousand were recorded: turns took 1.4 s and came every 5 s, so a region asked for 2,400 starts a second had 104, and 32,800 running tasks fell back to 3,300. The bound is what four records or one transaction hold; the plain cycle has it too and the property test draws it.

--- a/packages/controller/src/scheduler/cycle.ts
+++ b/packages/controller/src/scheduler/cycle.ts
@@ -70,6 +70,8 @@
   private readonly displaced = new Set<QueueTeam>();
   /** One gang that was passed over gathers room. */
   private reserved = false;
+  /** Starts of a job on a machine so far. */
+  private places = 0;
   /** The team that is being served, until all others' evicted tasks have been let return as far as they come before it. */
   private unsettled: QueueTeam | null = null;
 
@@ -169,7 +171,7 @@
     for (const team of this.ground.teams.values()) this.reorder(team);
     for (;;) {
       const team = this.order.first();
-      if (team === null) return;
+      if (team === null || this.places >= (this.input.mostPlaces ?? Number.POSITIVE_INFINITY)) return;
       const item = this.returnEvicted(team);
       this.notePassed(team);
       this.unsettled = team;
@@ -348,7 +350,10 @@
       if (start === null) return;
       const on = start.on.get(n.view.id);
       if (on) on.push(task);
-      else start.on.set(n.view.id, [task]);
+      else {
+        start.on.set(n.view.id, [task]);
+        this.places++;
+      }
     });
     if (!choice.free) for (const n of choice.machines) takeFromLeaving(n);
   }
--- a/packages/controller/src/scheduler/draft.ts
+++ b/packages/controller/src/scheduler/draft.ts
@@ -12,6 +12,7 @@
 import { encodeRanges } from '../jobs/ranges.js';
 import type { Job, JobChange } from '../jobs/model.js';
 import { endings, type LoanEnd, loansMade } from '../lending/record.js';
+import type { Settings } from '../settings/settings.js';
 import type { Condition } from '../state-store/client.js';
 import type { Start, Stop } from './model.js';
 import type { Turn } from './turn.js';
@@ -45,6 +46,15 @@
 /** Beside the jobs' conditions stand the term, the incarnation, the record before and one for each record. */
 const OTHER_CONDITIONS = 5 + MOST_RECORDS;
 
+/** What a start on one machine takes at the least: `"vm-000001":"1",`. */
+const PLACE_BYTES = 16;
+
+/** Starts of a job on a machine that one turn can record at the most: a cycle need not look for more. */
+export const mostPlaces = ({ valueBytes, txnOps }: Settings['state']): number => {
+  const values = Math.min(MOST_RECORDS, txnOps) * valueBytes * VALUE_PART;
+  return Math.floor(Math.min(values, TRANSACTION_BYTES * TRANSACTION_PART) / PLACE_BYTES);
+};
+
 const sizeOf = (id: string, change: JobChange): number =>
   JSON.stringify(encodeChange(change)).length + id.length + ENTRY_BYTES;
 
--- a/packages/controller/src/scheduler/duty.ts
+++ b/packages/controller/src/scheduler/duty.ts
@@ -12,6 +12,7 @@
 import { schedule } from './cycle.js';
 import { add, type CycleInput, type CycleResult, type QueuedJob, type Room, type Stop } from './model.js';
 import { commit } from './commit.js';
+import { mostPlaces } from './draft.js';
 import { surplusOf } from './surplus.js';
 import type { CycleView, Turn } from './turn.js';
 import { companionsOf, holdersOf, lendingOf, nodesOf, queuedOf, weightsOf } from './views.js';
@@ -125,6 +126,7 @@
       surplus: view.surplus,
       avoid: (job) => t.book.avoid(job),
       attempts: Math.max(t.cache.floor, t.cache.attempts),
+      mostPlaces: mostPlaces(t.settings.state),
       lending: lendingOf(t, at, queued),
     };
     const result = schedule(input);
--- a/packages/controller/src/scheduler/model.ts
+++ b/packages/controller/src/scheduler/model.ts
@@ -85,6 +85,11 @@
   readonly avoid: (job: Job) => ReadonlySet<string> | null;
   /** Attempts up to this one may have been used before a loss; none if left out. */
   readonly attempts?: number;
+  /**
+   * So many places, a job's start on one machine each, are all that can be recorded: the refill ends once it has filled
+   * them. None if left out.
+   */
+  readonly mostPlaces?: number;
   /** Left out: replicas go where any task would. */
   readonly lending?: LendingView;
 }
--- a/packages/controller/test/scheduler.test.ts
+++ b/packages/controller/test/scheduler.test.ts
@@ -162,12 +162,13 @@
     { minLength: 20, maxLength: 20 },
   ),
   weights: fc.array(fc.constantFrom(1, 0.25, 0.05), { minLength: 9, maxLength: 9 }),
+  mostPlaces: fc.constantFrom(undefined, undefined, 3, 8),
 });
 
 test('the cycle decides what the plain one does', () => {
   // Guards the heap of teams, the ranking of machines and the queues made without sorting: at 45,000 tasks the plain cycle
   // takes most of a second.
-  const seen = { starts: 0, stops: 0, claims: 0, unplaced: 0 };
+  const seen = { starts: 0, stops: 0, claims: 0, unplaced: 0, cut: 0 };
   fc.assert(
     fc.property(arbShortTasks, (s) => {
       const jobs = s.jobs.map((j, i) =>
@@ -206,6 +207,7 @@
         nodes,
         holders,
         queued: waiting,
+        mostPlaces: s.mostPlaces,
         claims: new Map(s.jobs.flatMap((j, i) => (j.claimed === 1 ? [[`job-${i}`, 2]] : []))),
       });
       const quick = schedule(cycle);
@@ -214,6 +216,8 @@
       seen.stops += quick.stops.length;
       seen.claims += quick.claims.size;
       seen.unplaced += quick.unplaced.length;
+      const places = quick.starts.reduce((n, x) => n + x.on.size, 0);
+      seen.cut += places >= (s.mostPlaces ?? Number.POSITIVE_INFINITY) ? 1 : 0;
     }),
     { seed: 2026, numRuns: 500 },
   );
--- a/packages/controller/test/support/plain-cycle.ts
+++ b/packages/controller/test/support/plain-cycle.ts
@@ -271,7 +271,10 @@
       if (choice.free) {
         const on = start!.on.get(n.view.id);
         if (on) on.push(task);
-        else start!.on.set(n.view.id, [task]);
+        else {
+          start!.on.set(n.view.id, [task]);
+          places++;
+        }
       }
     });
     // Room that is only promised is taken from what is leaving, so that nobody else counts on it.
@@ -287,6 +290,7 @@
     }
   };
   const returned = new Set<Evicted>();
+  let places = 0;
 
   /** Places `group`, the next tasks of `item`, and says whether there was room. */
   const put = (
@@ -412,6 +416,7 @@
       returned.add(item.unit);
       continue;
     }
+    if (places >= (input.mostPlaces ?? Number.POSITIVE_INFINITY)) break;
     if (!serve(team, item)) team.next++;
   }
 
