--- a/packages/controller/src/scheduler/cycle.ts
+++ b/packages/controller/src/scheduler/cycle.ts
@@ -171,7 +171,8 @@
     for (const team of this.ground.teams.values()) this.reorder(team);
     for (;;) {
       const team = this.order.first();
-      if (team === null || this.places >= (this.input.mostPlaces ?? Number.POSITIVE_INFINITY)) return;
+      if (team === null) return;
+      if (this.places >= (this.input.mostPlaces ?? Number.POSITIVE_INFINITY)) return this.noteUnreached();
       const item = this.returnEvicted(team);
       this.notePassed(team);
       this.unsettled = team;
@@ -183,6 +184,14 @@
     }
   }
 
+  /** What waits still counts as demand: machines with room for it are not to be returned. */
+  private noteUnreached(): void {
+    for (const team of this.ground.teams.values())
+      for (const item of team.queue.slice(team.next))
+        if (item.kind === 'queued' && !item.over && item.queued.rents && !this.overLimit(team, item.size))
+          this.unplaced.push({ job: item.queued.job, count: left(item) });
+  }
+
   /** Lets all that the team has evicted before its next waiting item return; answers with that item. */
   private returnEvicted(team: QueueTeam): QueuedItem {
     for (;;) {
@@ -275,12 +284,12 @@
   }
 
   private noteUnplaced(team: QueueTeam, item: QueuedItem, shape: string | null): void {
-    const { job, tasks, gathers, rents } = item.queued;
+    const { job, gathers, rents } = item.queued;
     const { length } = nextOf(item);
     if (shape !== null)
       this.hopeless.set(shape, Math.min(length, this.hopeless.get(shape) ?? Number.POSITIVE_INFINITY));
     if (!this.reserved && gathers) this.reserved = reserve(this.floor, this.input.holders, job, team);
-    if (rents) this.unplaced.push({ job, count: isGang(job) ? tasks.length : tasks.length - item.at });
+    if (rents) this.unplaced.push({ job, count: left(item) });
   }
 
   /** What makes items fail alike; null: this one is looked for in a way of its own. */
@@ -410,6 +419,10 @@
   run.next++;
 };
 
+/** Tasks that are not placed; of a gang all. */
+const left = ({ queued, at }: QueuedItem): number =>
+  isGang(queued.job) ? queued.tasks.length : queued.tasks.length - at;
+
 const nextOf = (item: QueuedItem): readonly number[] =>
   isGang(item.queued.job) ? item.queued.tasks : [item.queued.tasks[item.at]!];
 
--- a/packages/controller/test/support/plain-cycle.ts
+++ b/packages/controller/test/support/plain-cycle.ts
@@ -416,7 +416,15 @@
       returned.add(item.unit);
       continue;
     }
-    if (places >= (input.mostPlaces ?? Number.POSITIVE_INFINITY)) break;
+    if (places >= (input.mostPlaces ?? Number.POSITIVE_INFINITY)) {
+      for (const t of teams.values())
+        for (const i of t.queue.slice(t.next)) {
+          if (i.kind === 'evicted' || over.has(i) || !i.queued.rents || overLimit(t, sizeOf(i))) continue;
+          const { job, tasks } = i.queued;
+          unplaced.push({ job, count: job.spec.shape === 'gang' ? tasks.length : tasks.length - i.at });
+        }
+      break;
+    }
     if (!serve(team, item)) team.next++;
   }
 
