--- a/packages/controller/src/scheduler/draft.ts
+++ b/packages/controller/src/scheduler/draft.ts
@@ -55,9 +55,22 @@
   return Math.floor(Math.min(values, TRANSACTION_BYTES * TRANSACTION_PART) / PLACE_BYTES);
 };
 
+/** Rows are somewhat shorter than their bound, and never get all of a value. */
+const ROW_OF_BOUND = 0.7;
+const MOST_ROWS_PART = 0.8;
+
 const sizeOf = (id: string, change: JobChange): number =>
   JSON.stringify(encodeChange(change)).length + id.length + ENTRY_BYTES;
 
+/** What of one job has been seen to end. */
+interface EndedJob {
+  readonly job: Job;
+  readonly done: readonly number[];
+  readonly gone: readonly number[];
+  /** Those of `gone` that failed by themselves. */
+  readonly failed: readonly number[];
+}
+
 class RecordDraft {
   readonly changes = new Map<string, JobChange>();
   bytes = HEAD_BYTES;
@@ -82,6 +95,8 @@
   readonly lent: Stop[] = [];
   readonly ended: LoanEnd[] = [];
   whole = true;
+  /** Bytes of the first record that are kept for the accounts' rows: what else goes there must not crowd them out. */
+  private reserved = 0;
   private readonly valueLimit: number;
   private readonly mostConditions: number;
 
@@ -101,7 +116,20 @@
 
   /** Bytes that a record may take; the accounts' rows, and `booked` more of them, stand in the first one. */
   private limitOf(record: RecordDraft, booked: number): number {
-    return record === this.records[0] ? this.valueLimit - this.spending.bytes - booked : this.valueLimit;
+    if (record !== this.records[0]) return this.valueLimit;
+    return this.valueLimit - Math.max(this.spending.bytes + booked, this.reserved);
+  }
+
+  /** Keeps room for the rows of all that has ended: jobs of one team and class mostly share theirs. */
+  reserveRows(ended: readonly EndedJob[]): void {
+    const ofGroup = new Map<string, number>();
+    for (const { job, done, gone } of ended) {
+      const group = `${job.spec.team} ${job.spec.jobClass}`;
+      const rows = this.spending.wouldAdd(job, [...done, ...gone]);
+      ofGroup.set(group, Math.max(ofGroup.get(group) ?? 0, rows));
+    }
+    const bound = [...ofGroup.values()].reduce((a, b) => a + b, 0);
+    this.reserved = Math.min(this.valueLimit * MOST_ROWS_PART, bound * ROW_OF_BOUND);
   }
 
   private transactionBytes(): number {
@@ -185,15 +213,9 @@
     this.when.push(...asKnown(id, s.job.stamp));
   }
 
-  ends(
-    id: string,
-    job: Job,
-    done: readonly number[],
-    gone: readonly number[],
-    failed: readonly number[],
-  ): void {
+  ends({ job, done, gone, failed }: EndedJob): void {
     const booked = this.spending.wouldAdd(job, [...done, ...gone]);
-    if (!this.add(id, (c) => ({ ...c, done, gone, failed }), booked)) return;
+    if (!this.add(job.spec.id, (c) => ({ ...c, done, gone, failed }), booked)) return;
     this.spending.add(job, done, 'done');
     this.spending.add(job, gone, 'gone');
   }
@@ -211,15 +233,16 @@
   return on;
 };
 
-const draftEnds = (t: Turn, d: Drafting): void => {
+const endedJobs = (t: Turn): EndedJob[] => {
+  const out: EndedJob[] = [];
   for (const [id, e] of t.book.ends) {
     const job = t.cache.jobs.get(id);
     if (!job) continue;
     // A gang that completed is done as a whole, whatever else its members said.
     const gone = [...e.gone].filter((x) => !e.done.has(x));
-    const failed = gone.filter((x) => e.failed.has(x));
-    d.ends(id, job, [...e.done], gone, failed);
+    out.push({ job, done: [...e.done], gone, failed: gone.filter((x) => e.failed.has(x)) });
   }
+  return out;
 };
 
 const draftLoans = (t: Turn, d: Drafting, stops: readonly Stop[]): void => {
@@ -246,7 +269,9 @@
   said: ReadonlyMap<string, number>,
 ): Draft => {
   const d = new Drafting(t, spending);
-  draftEnds(t, d);
+  const ended = endedJobs(t);
+  d.reserveRows(ended);
+  for (const e of ended) d.ends(e);
   for (const [id, say] of said) d.add(id, (c) => ({ ...c, said: say }));
   // The starts count on the room of every end: with one of these left out, they wait for the next record.
   if (d.whole) {
--- a/packages/controller/test/draft.test.ts
+++ b/packages/controller/test/draft.test.ts
@@ -156,6 +156,34 @@
   for (const [what, n] of Object.entries(seen)) assert.ok(n > 3, `${what} ${n}`);
 });
 
+// In a scale run of a region the first record was full of ends, the accounts' rows found no room there, and nothing started.
+test('ends leave the accounts of their turn room in its first record, and starts go out in the same turn', () => {
+  const state = { ...SETTINGS.state, valueBytes: 32_768, txnOps: 24 };
+  const jobs = Array.from({ length: 150 }, (_, i) => {
+    const base = fresh(`job-${i + 1}`);
+    const job = {
+      ...base,
+      spec: { ...base.spec, team: `team-${i % 75}`, jobClass: `class-${i % 2}`, tasks: 200 },
+    };
+    for (let task = 1; task < 120; task += 2)
+      job.placed.set(task, { task, attempt: 1, machine: `vm-${task}`, since: 5 as Micros });
+    return { ...job, attempt: 1 };
+  });
+  const l = leading(jobs, state);
+  for (const job of l.node.cache.jobs.values())
+    l.turn.book.ends.set(job.spec.id, {
+      done: new Set(job.placed.keys()),
+      gone: new Set(),
+      failed: new Set(),
+    });
+  const first = l.node.cache.jobs.get('job-1')!;
+  const { behind } = l.committed([{ job: first, attempt: 2, on: new Map([['vm-1', [0]]]) }]);
+  checkLimits(l.sent.at(-1)!, state);
+  assert.equal(l.sent.at(-1)!.then.length, 2);
+  assert.equal(behind, false);
+  assert.ok(l.node.cache.jobs.get('job-1')!.placed.has(0));
+});
+
 test('a turn that has left something is followed without the pause for many machines, but not without its own cost', () => {
   assert.equal(turnGapMs(2634, 20), 800);
   assert.equal(turnGapMs(2634, 20, true), 250);
