--- a/packages/lab/src/turns.ts
+++ b/packages/lab/src/turns.ts
@@ -6,8 +6,9 @@
  * machine has room for N small tasks and a part of that room (`--free`) has just fallen free, as between two turns of a
  * fleet whose tasks last for seconds: the turn has to place as many tasks as have ended.
  */
-import { Command, InvalidArgumentError } from 'commander';
+import { Command } from 'commander';
 import { endOnClosedPipe } from '@lilacvalve/base/closed-pipe';
+import { share, wholeNumber } from '@lilacvalve/base/flag-values';
 import type { Micros } from '@lilacvalve/base/micros';
 import { makeCalendar } from '@lilacvalve/controller/calendar/model';
 import { cutoffRank, sayOf } from '@lilacvalve/controller/calendar/slack';
@@ -16,17 +17,6 @@
 import type { CycleInput, CycleResult } from '@lilacvalve/controller/scheduler/model';
 import { type SampleFleet, mixedFleet, shortTaskFleet } from './sample-fleet.js';
 
-const wholeNumber = (text: string): number => {
-  const value = Number(text);
-  if (!Number.isInteger(value) || value < 1) throw new InvalidArgumentError('a whole number from 1 on');
-  return value;
-};
-const share = (text: string): number => {
-  const value = Number(text);
-  if (!(value >= 0 && value <= 1)) throw new InvalidArgumentError('a number from 0 to 1');
-  return value;
-};
-
 interface Options {
   readonly held?: number;
   readonly free: number;
--- a/packages/scale/src/scale.ts
+++ b/packages/scale/src/scale.ts
@@ -4,7 +4,8 @@
  * sockets, 3 when the run would have taken more of the machine than it may.
  */
 import { endOnClosedPipe } from '@lilacvalve/base/closed-pipe';
-import { Command, InvalidArgumentError, Option } from 'commander';
+import { positive, share, wholeNumber } from '@lilacvalve/base/flag-values';
+import { Command, Option } from 'commander';
 import { runChild } from './child.js';
 import { deployedFlags } from './controllers.js';
 import { CHILD_MARK } from './messages.js';
@@ -13,22 +14,8 @@
 import { asJson, asTable, progressLine } from './report.js';
 import { type Fault, FAULTS, type RunOptions, ScaleRun } from './run.js';
 
-const wholeNumber = (text: string): number => {
-  const n = Number(text);
-  if (!Number.isInteger(n) || n < 1) throw new InvalidArgumentError('a whole number from 1 on');
-  return n;
-};
-const positive = (text: string): number => {
-  const n = Number(text);
-  if (!Number.isFinite(n) || n <= 0) throw new InvalidArgumentError('a number above 0');
-  return n;
-};
-const share = (text: string): number => {
-  const n = Number(text);
-  if (!(n >= 0 && n <= 1)) throw new InvalidArgumentError('a number from 0 to 1');
-  return n;
-};
-
+/** Exit status for flags that make no run. */
+const BAD_FLAGS = 2;
 const PIPE_PROGRESS_EVERY = 10;
 
 interface Flags extends Omit<RunOptions, 'zones' | 'flags' | 'limits' | 'profileDir'> {
@@ -89,10 +76,12 @@
 
 const main = async (): Promise<void> => {
   endOnClosedPipe();
-  const cli = command().parse();
+  const cli = command()
+    .exitOverride((e) => process.exit(e.exitCode === 0 ? 0 : BAD_FLAGS))
+    .parse();
   const flags = cli.opts<Flags>();
   const refused = refusal(flags, openFilesLimit());
-  if (refused !== null) cli.error(`scale: ${refused}`, { exitCode: 2 });
+  if (refused !== null) cli.error(`scale: ${refused}`, { exitCode: BAD_FLAGS });
   const { zoneCount, prof, deploy, json, ...rest } = flags;
   const options: RunOptions = {
     ...rest,
