Records: the first record of a turn stays where it holds the accounts' rows only

With every end gone to a later record the empty first one was dropped and its rows stood in the head of a full one: the value was over the state service's limit, and the transaction was refused for ever.

--- a/packages/controller/src/scheduler/draft.ts
+++ b/packages/controller/src/scheduler/draft.ts
@@ -279,6 +279,7 @@
     for (const s of [...t.book.adoptions(), ...starts]) d.start(s);
     draftLoans(t, d, stops);
   }
-  const records = d.records.map((r) => r.changes).filter((changes) => changes.size > 0);
+  // The accounts' rows stand in the first record, also where every change went to a later one.
+  const records = d.records.some((r) => r.changes.size > 0) ? d.records.map((r) => r.changes) : [];
   return { records, when: d.when, whole: d.whole, lent: d.lent, ended: d.ended };
 };
--- a/packages/controller/test/draft.test.ts
+++ b/packages/controller/test/draft.test.ts
@@ -184,6 +184,34 @@
   assert.ok(l.node.cache.jobs.get('job-1')!.placed.has(0));
 });
 
+// The rows of all groups were put into the head of a record that was full already: the value was too large, for ever.
+test('the first record holds the rows also where the first ends are too many to stand beside them', () => {
+  const state = { ...SETTINGS.state, valueBytes: 32_768, txnOps: 24 };
+  const jobs = Array.from({ length: 200 }, (_, i) => {
+    const base = fresh(`job-${i + 1}`);
+    const tasks = i === 0 ? 10_000 : 2;
+    const job = { ...base, spec: { ...base.spec, team: `team-${i}`, jobClass: `class-${i}`, tasks } };
+    const placed = i === 0 ? 4500 : 1;
+    for (let n = 0; n < placed; n++)
+      job.placed.set(2 * n, { task: 2 * n, attempt: 1, machine: `vm-${n}`, since: 5 as Micros });
+    return { ...job, attempt: 1 };
+  });
+  const l = leading([], state);
+  for (const job of jobs) {
+    l.node.cache.jobs.set(job.spec.id, job);
+    l.turn.book.ends.set(job.spec.id, {
+      done: new Set(job.placed.keys()),
+      gone: new Set(),
+      failed: new Set(),
+    });
+  }
+  l.committed([]);
+  const sent = l.sent.at(-1)!;
+  checkLimits(sent, state);
+  assert.ok(sent.then.length > 1);
+  assert.equal(l.node.cache.jobs.get('job-1')!.done.size, 4500);
+});
+
 test('a turn that has left something is followed without the pause for many machines, but not without its own cost', () => {
   assert.equal(turnGapMs(2634, 20), 800);
   assert.equal(turnGapMs(2634, 20, true), 250);
