Clean-up of the cycle and the drafts: what the change made dead, and a start encoded twice

Nothing read a machine's version any more since searches go by what was touched; the cycle had an epsilon of its own beside the model's; a change was encoded once to see whether it fits and once more to count it.

--- a/packages/controller/src/scheduler/cycle.ts
+++ b/packages/controller/src/scheduler/cycle.ts
@@ -18,6 +18,7 @@
   add,
   type CycleInput,
   type CycleResult,
+  EPSILON,
   fits,
   type Room,
   room,
@@ -46,7 +47,6 @@
 
 const NONE: Room = [0, 0, 0];
 const NOBODY: ReadonlySet<Evicted> = new Set();
-const EPSILON = 1e-6;
 
 const isGang = (job: Job): boolean => job.spec.shape === 'gang';
 
@@ -84,7 +84,7 @@
     this.floor = {
       nodes: this.ground.nodes,
       evictedOn: (node) => this.evictedOn(node),
-      touch: (node) => this.touch(node),
+      touch: (node) => void this.touched.push(node),
       touched: this.touched,
       zones: [...new Set(input.nodes.map((n) => n.zone))].sort(),
       zonesHeld: this.ground.zonesHeld,
@@ -107,11 +107,6 @@
     return { starts: [...starts.values()], stops, unplaced, claims, free };
   }
 
-  private touch(node: NodeState): void {
-    node.version++;
-    this.touched.push(node);
-  }
-
   /** Dominant share over weight, as it would be with `more` placed. */
   private share(team: TeamState, more: Room): number {
     return this.shareOf(team.used, more, team.weight);
@@ -352,7 +347,7 @@
     tasks.forEach((task, i) => {
       const n = choice.machines[i]!;
       add(n.free, need, -1);
-      this.touch(n);
+      this.touched.push(n);
       add(team.used, need);
       add(team.held, need);
       if (hasZoneRules(job)) this.noteZone(job, n.view.zone);
@@ -398,7 +393,7 @@
       if (n) {
         add(n.evictedRoom[unit.job.spec.urgency]!, need, -1);
         add(n.leaving, need);
-        this.touch(n);
+        this.touched.push(n);
       }
       const stop = { job: unit.job, task: m.task, machine: m.machine };
       this.stops.push(lent ? { ...stop, taker: by } : stop);
--- a/packages/controller/src/scheduler/draft.ts
+++ b/packages/controller/src/scheduler/draft.ts
@@ -81,9 +81,10 @@
     return this.bytes - (this.sizes.get(id) ?? 0) + sizeOf(id, change);
   }
 
-  put(id: string, change: JobChange): void {
-    this.bytes = this.with(id, change);
-    this.sizes.set(id, sizeOf(id, change));
+  /** `bytes`: what `with` has said of it; encoding a large start twice would cost as much as all else here. */
+  put(id: string, change: JobChange, bytes: number): void {
+    this.sizes.set(id, bytes - this.bytes + (this.sizes.get(id) ?? 0));
+    this.bytes = bytes;
     this.changes.set(id, change);
   }
 }
@@ -158,7 +159,7 @@
     const inLast = change(last.changes.get(id));
     const bytes = last.with(id, inLast);
     if (rowsFit && bytes <= this.limitOf(last, booked) && this.fits(bytes - last.bytes + booked)) {
-      last.put(id, inLast);
+      last.put(id, inLast, bytes);
       return true;
     }
     const added = rowsFit && this.addToNew(id, change(undefined), booked);
@@ -171,7 +172,7 @@
     const bytes = record.with(id, change);
     const room = this.records.length < MOST_RECORDS && this.records.length < this.t.settings.state.txnOps;
     if (!room || bytes > this.valueLimit || !this.fits(bytes + RECORD_BYTES + booked)) return false;
-    record.put(id, change);
+    record.put(id, change, bytes);
     this.records.push(record);
     return true;
   }
--- a/packages/controller/src/scheduler/eviction.ts
+++ b/packages/controller/src/scheduler/eviction.ts
@@ -81,7 +81,6 @@
   ],
   surplus,
   kept: null,
-  version: 0,
 });
 
 const sizeOf = ({ spec }: Job): Room => {
--- a/packages/controller/src/scheduler/state.ts
+++ b/packages/controller/src/scheduler/state.ts
@@ -16,8 +16,6 @@
   readonly surplus: boolean;
   /** Gathered for a gang that was passed over, see reserve.ts. */
   kept: Kept | null;
-  /** Grows whenever its rooms change, so that a search need not weigh it again as long as they have not. */
-  version: number;
 }
 export interface Kept {
   readonly job: Job;
--- a/packages/controller/test/support/plain-cycle.ts
+++ b/packages/controller/test/support/plain-cycle.ts
@@ -79,7 +79,6 @@
       ],
       surplus: input.surplus.has(view.id),
       kept: null,
-      version: 0,
     });
     add(total, view.total);
   }
@@ -218,7 +217,6 @@
         n.evicted.delete(unit);
         add(n.evictedRoom[unit.job.spec.urgency]!, need, -1);
         add(n.leaving, need);
-        n.version++;
       }
       const stop = { job: unit.job, task: m.task, machine: m.machine };
       stops.push(lent ? { ...stop, taker: by } : stop);
@@ -232,7 +230,7 @@
   const floor: Floor = {
     nodes,
     evictedOn: (n) => [...(n as NodeState).evicted],
-    touch: (n) => void n.version++,
+    touch: () => undefined,
     touched: [],
     zones: [...new Set(input.nodes.map((n) => n.zone))].sort(),
     zonesHeld,
@@ -264,7 +262,6 @@
     tasks.forEach((task, i) => {
       const n = choice.machines[i]!;
       add(n.free, need, -1);
-      n.version++;
       add(team.used, need);
       add(team.held, need);
       zones.set(n.view.zone, (zones.get(n.view.zone) ?? 0) + 1);
