--- a/packages/controller/src/doors.ts
+++ b/packages/controller/src/doors.ts
@@ -22,6 +22,8 @@
 
 /** What a poll's path begins with; the job's id follows. */
 const POLL = '/work/';
+/** Where new jobs are submitted. */
+const SUBMIT = '/work';
 
 /** Users: work is taken on as far as the node keeps up with it. */
 export const userDoor = (deps: ApiDeps, admission: Admission, unready: () => string | null) => {
@@ -29,7 +31,8 @@
   return (r: Incoming): Effect.Effect<Answer> => {
     const work = workOf(r);
     if (work === null) return answer(r);
-    const refusal = admission.enter(work, work === 'poll' ? r.path.slice(POLL.length) : null);
+    const job = work === 'poll' ? r.path.slice(POLL.length) : null;
+    const refusal = admission.enter(work, job, r.path === SUBMIT);
     if (refusal !== null) return Effect.succeed(refusal);
     return Effect.ensuring(
       answer(r),
--- a/packages/controller/src/main.ts
+++ b/packages/controller/src/main.ts
@@ -10,6 +10,7 @@
 import { Cloud } from './fleet/cloud.js';
 import { Links } from './links.js';
 import { makeNode } from './node.js';
+import { heapFigures, memoryPart } from './overload/memory.js';
 import { readSettings, type Settings } from './settings/settings.js';
 import { StateStore } from './state-store/client.js';
 import { Workers } from './workers/duty.js';
@@ -29,6 +30,7 @@
         relay: links,
         clock: now,
         dayTime: () => micros(Date.now() * 1000),
+        memory: () => memoryPart(heapFigures(), settings.limits.memoryMb),
         snapshots: snapshots === undefined ? null : new DiskFiles(snapshots),
         ...(balance === undefined ? {} : { balance: seconds(balance) }),
       });
--- a/packages/controller/src/node.ts
+++ b/packages/controller/src/node.ts
@@ -19,7 +19,7 @@
 import { Leadership } from './leadership/leadership.js';
 import { type PeerPort, Peers } from './leadership/peers.js';
 import { Admission } from './overload/admission.js';
-import { loadLine, probe, pulse, servedBy } from './pulse.js';
+import { loadLine, probe, pulse, servedBy, watchMemory } from './pulse.js';
 import { type ViewPort, viewHandler } from './rebuild/exchange.js';
 import { Relics } from './rebuild/relics.js';
 import { answerCheck, verifyWith } from './rebuild/verify.js';
@@ -42,6 +42,8 @@
   readonly relay: RelayPort;
   readonly clock: () => Micros;
   readonly dayTime: () => Micros;
+  /** The part of its memory that the process uses; left out: not known. */
+  readonly memory?: () => number;
   /** Where snapshots are kept; null: nowhere. */
   readonly snapshots: Files | null;
   /** Half-life of the balance between teams (docs/accounts.md); off if left out. */
@@ -120,6 +122,7 @@
     () => store.writeWait(),
     settings.limits.cores,
     ports.dayTime,
+    ports.memory,
   );
   /** This node's view has been held against a peer's since it was read, or all have been asked in vain. */
   let verified = false;
@@ -320,6 +323,7 @@
           workers.run,
           probe(store, feed, clock),
           pulse(admission, leads),
+          watchMemory(admission),
           learnTypes,
           sessions.run,
         ],
--- a/packages/controller/src/overload/admission.ts
+++ b/packages/controller/src/overload/admission.ts
@@ -3,6 +3,7 @@
 import { type Micros, plus } from '@lilacvalve/base/micros';
 import { tally } from '../tally.js';
 import { admit } from './admit.js';
+import { MEMORY_LIMITS } from './memory.js';
 import { type Limits, limitsOf, type Load, type Work } from './model.js';
 import { SHARES, turnOf } from './turns.js';
 
@@ -18,6 +19,7 @@
   /** When the pulse is due, and how late the last one was. */
   private due = Number.POSITIVE_INFINITY;
   private last = 0;
+  private memoryPart = 0;
   /** The second that is counted; polls offered in it and in the one before, and taken in it by right of their turn. */
   private second = { at: Number.NEGATIVE_INFINITY, offered: 0, before: 0, turns: 0 };
 
@@ -28,6 +30,8 @@
     /** The node's share of a core. */
     cores = 1,
     private readonly dayTime: () => Micros = clock,
+    /** The part of its memory that the node uses. */
+    private readonly memory: () => number = () => 0,
   ) {
     this.limits = limitsOf(maxConnections, cores);
   }
@@ -37,6 +41,16 @@
     this.due = plus(this.clock(), forMicros);
   }
 
+  /** Looks at the memory; what it answers holds until it is asked again. */
+  lookAtMemory(): number {
+    return (this.memoryPart = this.memory());
+  }
+
+  /** The leader must not let more tasks run than it has memory for. */
+  get mayStart(): boolean {
+    return this.memoryPart < MEMORY_LIMITS.starts;
+  }
+
   /** How late it woke. */
   woke(): Micros {
     this.last = Math.max(0, this.clock() - this.due);
@@ -54,6 +68,7 @@
       inFlight: this.inFlight,
       writeWait: this.writeWait(),
       turns: this.second.turns,
+      memory: this.memoryPart,
     };
   }
 
@@ -71,9 +86,9 @@
 
   /**
    * null: taken on, and `leave` must be called once it is answered; else what to answer instead. `job`: whom a poll asks
-   * about.
+   * about. `grows`: a new job.
    */
-  enter(work: Work, job: string | null = null): Answer | null {
+  enter(work: Work, job: string | null = null, grows = false): Answer | null {
     if (work === 'poll') this.count();
     const load = this.load();
     const storm = Math.max(this.second.offered, this.second.before) > this.limits.turns.storm;
@@ -81,7 +96,7 @@
       work === 'poll' && job !== null
         ? turnOf(job, this.dayTime(), storm ? SHARES.storm : SHARES.behind)
         : null;
-    const afterS = admit(work, load, this.limits, (this.refusals * GOLDEN) % 1, turn);
+    const afterS = admit(work, load, this.limits, (this.refusals * GOLDEN) % 1, turn, grows);
     if (afterS === null) {
       if (turn?.mine && load.lag >= this.limits.lag.poll) this.second.turns++;
       this.inFlight[work]++;
--- a/packages/controller/src/overload/admit.ts
+++ b/packages/controller/src/overload/admit.ts
@@ -4,6 +4,7 @@
  * come back together. A poll is refused only out of its job's turn (turns.ts), up to a bound on what turns may cost.
  */
 import { toSeconds } from '@lilacvalve/base/micros';
+import { MEMORY_LIMITS } from './memory.js';
 import type { Limits, Load, Work } from './model.js';
 import type { Turn } from './turns.js';
 
@@ -14,7 +15,7 @@
 
 /**
  * Whole seconds after which to come back; null: the work is taken on. `luck` in [0, 1) spreads the refused. `turn`: of the
- * job that a poll asks about.
+ * job that a poll asks about. `grows`: a new job, which is kept until it is over.
  */
 export const admit = (
   work: Work,
@@ -22,11 +23,13 @@
   limits: Limits,
   luck: number,
   turn: Turn | null = null,
+  grows = false,
 ): number | null => {
   const late = load.lag >= limits.lag[work];
   const full = load.inFlight[work] >= limits.inFlight[work];
   const writes = work === 'submission' && load.writeWait >= limits.writeWait;
-  if (!late && !full && !writes) return null;
+  const short = grows && load.memory >= MEMORY_LIMITS.submissions;
+  if (!late && !full && !writes && !short) return null;
   if (turn?.mine && load.inFlight.poll < limits.turns.inFlight && load.turns < limits.turns.aSecond)
     return null;
   const behind = toSeconds(Math.max(load.lag, writes ? load.writeWait : 0));
--- a/packages/controller/src/overload/model.ts
+++ b/packages/controller/src/overload/model.ts
@@ -15,6 +15,8 @@
   readonly writeWait: Micros;
   /** Polls taken on within this second because it was their job's turn. */
   readonly turns: number;
+  /** The part of its memory that the node uses; see memory.ts. */
+  readonly memory: number;
 }
 
 export interface Limits {
--- a/packages/controller/src/pulse.ts
+++ b/packages/controller/src/pulse.ts
@@ -6,6 +6,7 @@
 import { Clock, Effect, FiberRef, LogLevel, Runtime } from 'effect';
 import type { Feed } from './jobs/feed.js';
 import type { Admission } from './overload/admission.js';
+import { MEMORY_LIMITS } from './overload/memory.js';
 import type { StatePort } from './state-store/port.js';
 import { listenToOdd, takeTally } from './tally.js';
 
@@ -34,6 +35,24 @@
     ),
   );
 
+/** Operators should see in the log that a node nears its memory's limit and takes no more jobs, and when that is over. */
+export const watchMemory = (admission: Admission) => {
+  let short = false;
+  return duty(
+    'memory',
+    Effect.suspend(() => {
+      const part = admission.lookAtMemory();
+      const now = part >= MEMORY_LIMITS.submissions;
+      const said =
+        now === short
+          ? Effect.void
+          : info(now ? 'memory short' : 'memory suffices', { part: part.toFixed(2) });
+      short = now;
+      return said;
+    }).pipe(Effect.zipRight(tick(toMillis(PULSE))), Effect.forever),
+  );
+};
+
 /** Operators should see in the log that this node stood still: its clocks ran on, and its right may be gone. */
 export const pulse = (admission: Admission, leads: () => boolean) =>
   duty(
--- a/packages/controller/src/reign/session.ts
+++ b/packages/controller/src/reign/session.ts
@@ -188,6 +188,7 @@
         reigning: r.reigning,
         acknowledged: () => p.peers.acknowledged(reign.term),
         types: () => p.types() ?? [],
+        mayStart: () => p.admission.mayStart,
         fleet: this.fleet,
         clock: p.clock,
         dayTime: p.dayTime,
--- a/packages/controller/src/scheduler/duty.ts
+++ b/packages/controller/src/scheduler/duty.ts
@@ -108,7 +108,7 @@
       return;
     }
     const began = t.clock();
-    const queued = queuedOf(t, at);
+    const queued = t.mayStart() ? queuedOf(t, at) : [];
     const nodes = nodesOf(t, at);
     const holders = holdersOf(t, at);
     view.surplus = surplusOf(nodes, holders, queued);
--- a/packages/controller/src/scheduler/node-ranking.ts
+++ b/packages/controller/src/scheduler/node-ranking.ts
@@ -22,17 +22,18 @@
   private seen: number;
 
   /**
-   * `allowed`: by a machine's index, whether it is one of `list`. `touched` grows by a machine whenever its rooms change.
-   * `weigh`: null where the machine has no place.
+   * `first`: the machines that have a place as of so many changes; others may come to have one. `allowed`: by a machine's
+   * index, whether it may be used. `touched` grows by a machine whenever its rooms change. `weigh`: null where the machine
+   * has no place.
    */
   constructor(
-    list: readonly NodeState[],
+    first: { readonly list: readonly NodeState[]; readonly asOf: number },
     private readonly allowed: Uint8Array,
     private readonly touched: readonly NodeState[],
     private readonly weigh: (n: NodeState) => T | null,
   ) {
-    this.seen = touched.length;
-    for (const n of list) this.take(n);
+    this.seen = first.asOf;
+    for (const n of first.list) this.take(n);
   }
 
   /** The best machine as things stand; null: none has a place. */
--- a/packages/controller/src/scheduler/place.ts
+++ b/packages/controller/src/scheduler/place.ts
@@ -42,6 +42,13 @@
   readonly list: readonly NodeState[];
   /** By a machine's index: whether it is one of them. */
   readonly allowed: Uint8Array;
+  /** By level, those that have CPUs left. Shared: on a full fleet they are few, and hundreds of jobs look for them. */
+  readonly roomy: Roomy[];
+}
+interface Roomy {
+  readonly list: readonly NodeState[];
+  /** How many of the cycle's changes it includes. */
+  readonly asOf: number;
 }
 
 export const finder = (floor: Floor): Finder => {
@@ -63,7 +70,7 @@
       );
       const allowed = new Uint8Array(floor.nodes.size);
       for (const n of list) allowed[n.index] = 1;
-      lists.set(key, (shared = { list, allowed }));
+      lists.set(key, (shared = { list, allowed, roomy: [] }));
     }
     const shunned = floor.avoid(job);
     return shunned === null
@@ -71,6 +78,13 @@
       : { ...shared, list: shared.list.filter((n) => !shunned.has(n.view.id)) };
   };
 
+  /** Machines with CPUs left at a level below displacing: free ones only become fewer, and others are touched. */
+  const roomyOf = (machinesOf: Candidates, level: Level): Roomy =>
+    (machinesOf.roomy[level] ??= {
+      list: machinesOf.list.filter((n) => reach(n, 0, 0) > EPSILON && (level > 0 || n.free[0] > EPSILON)),
+      asOf: floor.touched.length,
+    });
+
   /**
    * What the machines are worth to a job's next task: of an array's tasks each takes one machine's room, and all the
    * others are worth what they were. By job and level, for tasks that displace nobody.
@@ -79,12 +93,17 @@
   const rankingOf = (
     job: Job,
     level: Level,
-    { list, allowed }: Candidates,
+    machinesOf: Candidates,
     weigh: (n: NodeState) => Option | null,
   ): NodeRanking<Option> => {
     let mine = rankings.get(job);
     if (!mine) rankings.set(job, (mine = []));
-    return (mine[level] ??= new NodeRanking(list, allowed, floor.touched, weigh));
+    if (mine[level] !== undefined) return mine[level];
+    const { list, asOf } =
+      job.spec.cpus > EPSILON
+        ? roomyOf(machinesOf, level)
+        : { list: machinesOf.list, asOf: floor.touched.length };
+    return (mine[level] = new NodeRanking({ list, asOf }, machinesOf.allowed, floor.touched, weigh));
   };
   /** Whether the machines that a job may use are the same for each of its tasks. */
   const ranks = (job: Job): boolean =>
--- a/packages/controller/src/scheduler/turn.ts
+++ b/packages/controller/src/scheduler/turn.ts
@@ -30,6 +30,8 @@
   /** Enough nodes know this term that no older leader can go on. */
   readonly acknowledged: () => boolean;
   readonly types: () => readonly MachineType[];
+  /** false: this node has no memory for more running tasks. */
+  readonly mayStart: () => boolean;
   /** What the fleet's duty tells the followers, and whether it has read the cloud's list in this reign. */
   readonly fleet: { news: FleetNews; listed: boolean };
   readonly clock: () => Micros;
--- /dev/null
+++ b/packages/controller/test/draft.test.ts
@@ -0,0 +1,140 @@
+/** What a turn makes durable when it is more than one record holds. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { Effect } from 'effect';
+import type { Micros } from '@lilacvalve/base/micros';
+import { RECORD } from '../src/jobs/keys.js';
+import type { Job } from '../src/jobs/model.js';
+import { turnGapMs } from '../src/reign/session.js';
+import { commit, type Committed } from '../src/scheduler/commit.js';
+import type { Start } from '../src/scheduler/model.js';
+import type { Turn } from '../src/scheduler/turn.js';
+import type { Condition, Write } from '../src/state-store/client.js';
+import { calm, fresh, kept, SETTINGS } from './support/late-store.js';
+import { Luck } from './support/luck.js';
+
+const { valueBytes, txnOps } = SETTINGS.state;
+const TRANSACTION_BYTES = 64 * 1024;
+const MACHINES = 400;
+
+interface Sent {
+  readonly when: readonly Condition[];
+  readonly then: readonly Write[];
+}
+const jobOf = (id: number, luck: Luck): Job => {
+  const gang = luck.int(4) === 0;
+  const spec = fresh(`job-${id}`).spec;
+  const job = fresh(`job-${id}`, {
+    spec: {
+      ...spec,
+      team: `team-${id % 80}`,
+      jobClass: `class-${id % 5}`,
+      shape: gang ? 'gang' : 'array',
+      tasks: gang ? 1 + luck.int(64) : 1 + luck.int(1500),
+    },
+  });
+  // Half of them run already, as far as one value of the store holds that.
+  if (id % 2 === 0)
+    for (let task = 0; task < Math.min(200, job.spec.tasks); task++)
+      job.placed.set(task, { task, attempt: 1, machine: `vm-${task}`, since: 5 as Micros });
+  return { ...job, attempt: job.placed.size > 0 ? 1 : 0 };
+};
+const startOf = (job: Job, luck: Luck): Start => {
+  const on = new Map<string, number[]>();
+  for (let task = 0; task < job.spec.tasks; task++) {
+    if (job.placed.has(task) || job.done.has(task)) continue;
+    const machine = `vm-${String(luck.int(MACHINES)).padStart(6, '0')}`;
+    on.set(machine, [...(on.get(machine) ?? []), task]);
+  }
+  return { job, attempt: job.attempt + 1, on };
+};
+const tasksOf = (s: Start): number => [...s.on.values()].reduce((n, tasks) => n + tasks.length, 0);
+
+/** The turn of a controller that leads, and every transaction that it sends. */
+const leading = (jobs: readonly Job[]) => {
+  const c = calm(jobs.map(kept));
+  const sent: Sent[] = [];
+  const { store } = c.turn;
+  const spy = Object.create(store) as typeof store;
+  spy.transact = (when, then, ...rest) => {
+    sent.push({ when, then });
+    return store.transact(when, then, ...rest);
+  };
+  const turn: Turn = { ...c.turn, store: spy };
+  const committed = (starts: readonly Start[]): Committed => {
+    let out: Committed | null = null;
+    c.go(Effect.map(commit(turn, starts), (x) => (out = x)));
+    return out!;
+  };
+  return { ...c, turn, sent, committed };
+};
+
+const checkLimits = ({ when, then }: Sent): void => {
+  const written = then.map((w) => JSON.stringify('set' in w ? w.value : '').length);
+  for (const n of written) assert.ok(n <= valueBytes, `a value of ${n} bytes`);
+  const all = JSON.stringify({ when: when.map(({ key, stamp }) => ({ k: key, stamp })), then });
+  assert.ok(all.length <= TRANSACTION_BYTES, `a transaction of ${all.length} bytes`);
+  assert.ok(when.length < txnOps * 4, `${when.length} conditions`);
+  assert.ok(then.length <= txnOps);
+};
+
+// At 80 teams a turn's ends and the accounts' rows filled its record, and nothing was started for as long as that went on.
+test('what does not fit into one record goes into further ones of the same transaction, within its limits', () => {
+  const seen = { several: 0, cut: 0, behind: 0 };
+  for (let seed = 1; seed <= 3; seed++) {
+    const luck = new Luck(seed);
+    const jobs = Array.from({ length: 60 }, (_, i) => jobOf(i + 1, luck));
+    const l = leading(jobs);
+    const { cache } = l.node;
+    const ended = new Map<string, number>();
+    for (const job of cache.jobs.values()) {
+      if (job.placed.size === 0) continue;
+      const done =
+        job.spec.shape === 'gang' ? [...job.placed.keys()] : [...job.placed.keys()].slice(luck.int(50));
+      l.turn.book.ends.set(job.spec.id, { done: new Set(done), gone: new Set(), failed: new Set() });
+      ended.set(job.spec.id, done.length);
+    }
+    for (let turn = 0; turn < 60; turn++) {
+      const starts = [...cache.jobs.values()]
+        .filter((j) => (j.spec.shape === 'gang' ? j.placed.size + j.done.size === 0 : true))
+        .map((j) => startOf(j, luck))
+        .filter((s) => s.on.size > 0);
+      if (starts.length === 0 && l.turn.book.ends.size === 0) break;
+      const before = new Map([...cache.jobs].map(([id, j]) => [id, j.placed.size + j.done.size]));
+      const { behind } = l.committed(starts);
+      checkLimits(l.sent.at(-1)!);
+      seen.several += l.sent.at(-1)!.then.length > 1 ? 1 : 0;
+      seen.behind += behind ? 1 : 0;
+      for (const s of starts) {
+        const n = s.job.placed.size + s.job.done.size - before.get(s.job.spec.id)!;
+        if (s.job.spec.shape === 'gang') assert.ok(n === 0 || n === s.job.spec.tasks, 'a gang goes whole');
+        else if (n > 0 && n < tasksOf(s)) {
+          seen.cut++;
+          assert.ok(behind, 'and the next turn comes soon');
+        }
+      }
+    }
+    for (const [id, n] of ended) assert.ok(cache.jobs.get(id)!.done.size >= n, `all ends of ${id}`);
+    assert.equal(l.turn.book.ends.size, 0);
+    // A controller that reads all of it sees the same.
+    const view = l.service.view();
+    for (const [id, job] of cache.jobs) {
+      assert.deepEqual([...view.jobs.get(id)!.placed].sort(), [...job.placed].sort(), id);
+      assert.deepEqual([...view.jobs.get(id)!.done].sort(), [...job.done].sort(), id);
+    }
+    assert.deepEqual(view.accounts, cache.accounts);
+    const seqs = l.service.entries(RECORD).map((e) => Number(e.key.slice(RECORD.length)));
+    assert.deepEqual(
+      seqs,
+      seqs.map((_, i) => seqs[0]! + i),
+      'without a gap',
+    );
+  }
+  for (const [what, n] of Object.entries(seen)) assert.ok(n > 3, `${what} ${n}`);
+});
+
+test('a turn that has left something is followed without the pause for many machines, but not without its own cost', () => {
+  assert.equal(turnGapMs(2634, 20), 800);
+  assert.equal(turnGapMs(2634, 20, true), 250);
+  assert.equal(turnGapMs(2634, 200, true), 600);
+});
--- a/packages/controller/test/overload.test.ts
+++ b/packages/controller/test/overload.test.ts
@@ -6,6 +6,7 @@
 import { turnGapMs } from '../src/reign/session.js';
 import { Admission } from '../src/overload/admission.js';
 import { admit } from '../src/overload/admit.js';
+import { memoryPart } from '../src/overload/memory.js';
 import { limitsOf, type Load, WORK } from '../src/overload/model.js';
 import { SHARES, SLOT } from '../src/overload/turns.js';
 import { Luck } from './support/luck.js';
@@ -17,6 +18,7 @@
   inFlight: idle,
   writeWait: 0 as Micros,
   turns: 0,
+  memory: 0,
   ...over,
 });
 const refused = (l: Load): string[] => WORK.filter((w) => admit(w, l, limits, 0.5) !== null);
@@ -39,6 +41,40 @@
   assert.deepEqual(refused(load({ writeWait: seconds(1.9) })), []);
 });
 
+// On a day of a region's size with troubles the leader ran out of its heap and ended, with all that it knew.
+test('a node short of memory takes no new jobs, then starts nothing, and goes on with all else', () => {
+  const MB = 1024 * 1024;
+  const heap = { reserved: 100 * MB, used: 60 * MB, limit: 250 * MB, external: 10 * MB };
+  assert.equal(memoryPart(heap, 340), 0.5);
+  assert.equal(memoryPart({ ...heap, used: 200 * MB }, 340), 0.8, 'its heap may grow no further');
+  let part = 0.89;
+  const node = new Admission(
+    1000,
+    () => 0 as Micros,
+    () => 0 as Micros,
+    1,
+    undefined,
+    () => part,
+  );
+  const taken = (): (number | undefined)[] => [
+    node.enter('submission', null, true)?.status,
+    node.enter('submission')?.status,
+    node.enter('poll', 'job-1')?.status,
+    node.enter('report')?.status,
+  ];
+  for (const [now, submission, starts] of [
+    [0.89, undefined, true],
+    [0.9, 503, true],
+    [0.95, 503, false],
+    [0.3, undefined, true],
+  ] as const) {
+    part = now;
+    node.lookAtMemory();
+    assert.deepEqual(taken(), [submission, undefined, undefined, undefined]);
+    assert.equal(node.mayStart, starts);
+  }
+});
+
 test('the refused are told to come back within 30 s, spread over more time the more there is to do', () => {
   const told = (lag: Micros): number[] =>
     Array.from({ length: 1000 }, (_, i) => admit('poll', load({ lag }), limits, i / 1000)!);
--- a/packages/controller/test/support/late-store.ts
+++ b/packages/controller/test/support/late-store.ts
@@ -267,6 +267,7 @@
       reigning,
       acknowledged: () => true,
       types: () => TYPES,
+      mayStart: () => true,
       fleet: { news: null as never, listed: true },
       largest: new Largest(),
       learned: new Learned(),
