--- a/review/lib/cluster.mjs
+++ b/review/lib/cluster.mjs
@@ -21,6 +21,7 @@
   const began = performance.now();
   const file = createWriteStream(path);
   const log = (what, fields = {}) => {
+    if (file.writableEnded) return;
     const at = ((performance.now() - began) / 1000).toFixed(3).padStart(8);
     const parts = Object.entries(fields).map(
       ([name, value]) => `${name}=${typeof value === 'string' ? value : JSON.stringify(value)}`,
