State service: a rejected transaction is an error of its own and leaves a log line; stand-ins enforce the limits

A transaction answered with 400 was a Refused like a 503, so that callers sent it again as it was, and nothing was logged. It is Rejected now, and the client logs 'transaction rejected' with the key and bytes of the largest value, the limit, the whole size and the counts.

No test saw it, since none of our stand-ins enforced what PROTOCOL says of POST /multi. They all do now: bytes in UTF-8 of a value and of the whole transaction, puts and deletes, conditions, keys.

--- a/packages/controller/src/leadership/campaign.ts
+++ b/packages/controller/src/leadership/campaign.ts
@@ -133,7 +133,7 @@
       ),
     );
     if (result._tag === 'Left') {
-      if (result.left._tag === 'Refused') return null;
+      if (result.left._tag !== 'NoResponse') return null;
       // The transaction may be committed although the response was lost: then this controller takes up the leadership
       // instead of releasing it.
       yield* watcher.refreshNow;
--- a/packages/controller/src/state-store/client.ts
+++ b/packages/controller/src/state-store/client.ts
@@ -1,8 +1,10 @@
 /**
  * Client of the state service, a consensus-backed key-value store: compare-and-swap transactions, paged reads, a watch and
- * leases. A request fails in one of two ways that callers must distinguish: after `Refused` it certainly has no effect;
- * after `NoResponse` it may have taken effect, or may still do so later. The service's field names (`k`, `stamp`,
- * `ledgerRev`, `tenancy`, ...) occur here only.
+ * leases. A request fails in one of three ways that callers must distinguish: after `Refused` it certainly has no effect,
+ * and a repetition may succeed; after `Rejected` it has no effect, and a repetition never succeeds; after `NoResponse` it
+ * may have taken effect, or may still do so later. The service's field names (`k`, `stamp`, `ledgerRev`, `tenancy`, ...)
+ * occur here and in
+ * `transaction.ts` only.
  */
 import { Data, Effect } from 'effect';
 import {
@@ -11,18 +13,30 @@
   type NoResponse,
   type ReceivedResponse,
 } from '@lilacvalve/runtime/http-client';
+import { error } from '@lilacvalve/runtime/log';
 import { type Micros, monotonicNow, toMillis } from '@lilacvalve/runtime/micros';
 import { countMetric } from '../metrics.js';
 import type { Settings } from '../settings/settings.js';
 import { StoreBudgets, Priority } from './budget.js';
+import { type Condition, type Write, wireTransaction } from './transaction.js';
+import { measureTransaction } from './transaction-limits.js';
 
-/** The service responded that it has not carried out the request (status 429, 503, 400). */
+export { type Condition, type Write, wireTransaction };
+
+/** The service responded that it has not carried out the request for now (status 429, 503). */
 export class Refused extends Data.TaggedError('Refused')<{
   readonly status: number;
   readonly reason: string;
 }> {}
+/**
+ * The service responded that the request is malformed, exceeds a limit, or names a lease that does not exist (status 400).
+ * It has not been carried out and never will be: callers must not send it again as it is.
+ */
+export class Rejected extends Data.TaggedError('Rejected')<{
+  readonly reason: string;
+}> {}
 /** Why a request to the state service failed. */
-export type StateFailure = Refused | NoResponse;
+export type StateFailure = Refused | Rejected | NoResponse;
 
 /**
  * A revision or a lease's number is missing or is not a safe integer. From 2^53 on, numbers can't be compared exactly, and
@@ -34,14 +48,6 @@
   }
 }
 
-/** A condition of a transaction: the key's revision is unchanged; 0: the key does not exist. */
-export interface Condition {
-  readonly key: string;
-  readonly revision: number;
-}
-/** One write of a transaction. `lease`: the key is deleted when that lease expires. */
-export type Write =
-  { readonly set: string; readonly value: unknown; readonly lease?: number } | { readonly delete: string };
 /** Result of a transaction. If it was not applied, `failed` lists the keys whose conditions did not hold. */
 export type Outcome =
   | { readonly ok: true; readonly revision: number }
@@ -109,7 +115,7 @@
   lastRefused = Number.NEGATIVE_INFINITY;
 
   constructor(
-    settings: Pick<Settings, 'stateAddress' | 'controllerCount' | 'state'>,
+    private readonly settings: Pick<Settings, 'stateAddress' | 'controllerCount' | 'state'>,
     private readonly clock: () => Micros = monotonicNow,
   ) {
     this.client = new HttpClient(settings.stateAddress, keepAliveAgent(24));
@@ -133,14 +139,7 @@
     priority: Priority,
     timeoutMs: number,
   ): Effect.Effect<Outcome, StateFailure> {
-    const body = JSON.stringify({
-      when: when.map((condition) => ({ k: condition.key, stamp: condition.revision })),
-      then: then.map((write) =>
-        'set' in write
-          ? { set: write.set, value: write.value, tenancy: write.lease }
-          : { delete: write.delete },
-      ),
-    });
+    const body = JSON.stringify(wireTransaction(when, then));
     return this.budgets.writes.take(priority, then.length).pipe(
       Effect.zipRight(this.call('POST', '/multi', body, priority, timeoutMs)),
       Effect.flatMap((reply): Effect.Effect<Outcome, StateFailure> => {
@@ -155,6 +154,12 @@
         }
         return this.refused(reply);
       }),
+      Effect.tapErrorTag('Rejected', ({ reason }) =>
+        error('transaction rejected', {
+          reason,
+          ...measureTransaction(when, then, body, this.settings.state),
+        }),
+      ),
     );
   }
 
@@ -244,11 +249,13 @@
     return this.call('DELETE', `/grants/${lease}`, null, Priority.Lease, 800).pipe(Effect.asVoid);
   }
 
-  private refused(reply: ReceivedResponse): Effect.Effect<never, Refused> {
+  private refused(reply: ReceivedResponse): Effect.Effect<never, Refused | Rejected> {
+    const reason = reply.body.toString('utf8', 0, 200);
+    if (reply.status === 400) return Effect.fail(new Rejected({ reason }));
     if (reply.status === 429) {
       this.budgets.drain();
     }
-    return Effect.fail(new Refused({ status: reply.status, reason: reply.body.toString('utf8', 0, 200) }));
+    return Effect.fail(new Refused({ status: reply.status, reason }));
   }
 
   private call(
--- a/packages/controller/test/draft.test.ts
+++ b/packages/controller/test/draft.test.ts
@@ -68,6 +68,7 @@
 /** Returns a leading controller with a function that commits starts, and all transactions that it sends. */
 const leadingController = (jobs: readonly Job[], state: StateLimits) => {
   const controller = faultFreeController(jobs.map(storedJob));
+  controller.service.limits = state;
   const sent: SentTransaction[] = [];
   const { store } = controller.turn;
   const spy = Object.create(store) as typeof store;
--- a/packages/controller/test/support/late-store.ts
+++ b/packages/controller/test/support/late-store.ts
@@ -19,11 +19,19 @@
 import { StartWaits } from '../../src/scheduler/start-waits.js';
 import type { CycleContext } from '../../src/scheduler/cycle-context.js';
 import { WorkerRegistry } from '../../src/workers/worker-registry.js';
-import { type Condition, Refused, type StateFailure, type Write } from '../../src/state-store/client.js';
+import {
+  type Condition,
+  Refused,
+  Rejected,
+  type StateFailure,
+  type Write,
+  wireTransaction,
+} from '../../src/state-store/client.js';
 import type { StatePort } from '../../src/state-store/port.js';
 import { job } from './job.js';
 import { RandomSource } from './random-source.js';
 import { TYPES, worldSettings } from './settings.js';
+import { transactionViolation } from './transaction-rules.js';
 
 /** One second in microseconds. */
 export const SECOND = 1e6;
@@ -116,6 +124,8 @@
     for (const [when, then] of this.sent) this.transact(when, then);
     return JSON.stringify(this.entries('s/').map((entry) => [entry.key, entry.value]));
   }
+  /** The limits on a transaction. */
+  limits = SETTINGS.state;
   /** Called with each key that a transaction has written, its value (undefined: deleted), and the sender's term. */
   onCommit: (key: string, value: unknown, term: number) => void = () => undefined;
 
@@ -190,6 +200,11 @@
     transact: (originalWhen, originalThen, _priority, timeoutMs) => {
       // Copied like a sent request: changes that the sender makes to its objects later have no effect on the request.
       const [when, then] = JSON.parse(JSON.stringify([originalWhen, originalThen])) as [Condition[], Write[]];
+      const violation = transactionViolation(wireTransaction(when, then), this.limits);
+      if (violation !== null) {
+        this.time.faults.push(`transaction rejected: ${violation}`);
+        return Effect.fail(new Rejected({ reason: violation }));
+      }
       this.sent.push([when, then]);
       if (this.losesAnswerTo(then)) {
         this.transact(when, then, term);
--- a/packages/operator-cli/src/io.ts
+++ b/packages/operator-cli/src/io.ts
@@ -117,6 +117,8 @@
         line: `state service: refused (${failure.status}): ${failure.reason}`,
         status: EXIT.stateService,
       };
+    case 'Rejected':
+      return { line: `state service: rejected: ${failure.reason}`, status: EXIT.stateService };
     case 'NoResponse':
       return { line: `state service: no response: ${failure.reason}`, status: EXIT.stateService };
   }
--- a/packages/scale-test/src/losses/loss-run.ts
+++ b/packages/scale-test/src/losses/loss-run.ts
@@ -168,6 +168,8 @@
     await this.injectFaults(losses);
     await this.awaitDone(users);
     this.violations.push(...history.violations);
+    const { rejected } = store.counts;
+    if (rejected > 0) this.violate(`${rejected} transactions exceeded a limit of the state service`);
     const result = this.result(users, losses, history, workers);
     cloud.end();
     workers.end();
--- a/packages/scale-test/src/report.ts
+++ b/packages/scale-test/src/report.ts
@@ -50,7 +50,7 @@
     ),
     row('bytes per worker', `median ${result.workerBytesPerS.median.toFixed(0)}, p99 ${result.workerBytesPerS.p99.toFixed(0)} a second`), // prettier-ignore
     row('leases lost', `${counters.leasesLost}, with ${counters.tasksKilled} tasks`),
-    row('state service', `${perSecond(result.state.requests)} requests, ${perSecond(result.state.changes)} changes, ${perSecond(result.state.writtenBytes)} bytes written a second, ${result.state.refused} refused`), // prettier-ignore
+    row('state service', `${perSecond(result.state.requests)} requests, ${perSecond(result.state.changes)} changes, ${perSecond(result.state.writtenBytes)} bytes written a second, ${result.state.refused} refused, ${result.state.rejected} rejected`), // prettier-ignore
     row('cloud', `${result.cloudCalls} calls`),
     row(
       'jobs',
--- a/packages/scale-test/src/scale-run.ts
+++ b/packages/scale-test/src/scale-run.ts
@@ -217,6 +217,7 @@
   requests: after.requests - before.requests,
   changes: after.changes - before.changes,
   refused: after.refused - before.refused,
+  rejected: after.rejected - before.rejected,
   followBytes: after.followBytes - before.followBytes,
   writtenBytes: after.writtenBytes - before.writtenBytes,
 });
--- a/packages/scale-test/src/state-service.ts
+++ b/packages/scale-test/src/state-service.ts
@@ -3,6 +3,7 @@
  * describes it, with rate limits, leases and watches. Nothing is durable; `loseData` simulates a service that loses
  * data.
  */
+import { transactionViolation } from '@lilacvalve/controller/support/transaction-rules';
 import type { JsonRequest, Respond } from './json-server.js';
 
 /** Number of past changes that a watch can still read. */
@@ -14,16 +15,22 @@
 /** Delay between the end of a lease's time to live and its expiry. */
 const LEASE_EXPIRY_DELAY_MS = 50;
 
-/** Rates that the service accepts; requests above them get status 429. */
+/** What the service accepts: requests above the rates get status 429, transactions above a limit status 400. */
 export interface StateLimits {
   readonly requestsPerS: number;
   readonly writesPerS: number;
+  /** Maximum size of a value, in KiB. */
+  readonly valueKb: number;
+  /** Maximum number of puts and deletes of a transaction. */
+  readonly transactionOps: number;
 }
 /** Counters since the service's start. */
 export interface StateCounts {
   requests: number;
   changes: number;
   refused: number;
+  /** Transactions that exceeded a limit. */
+  rejected: number;
   /** Bytes of responses to watches. */
   followBytes: number;
   /** Bytes of the values written. */
@@ -86,7 +93,14 @@
 
 /** The state service without its HTTP server, which passes each request to `handle`. */
 export class StateService {
-  readonly counts: StateCounts = { requests: 0, changes: 0, refused: 0, followBytes: 0, writtenBytes: 0 };
+  readonly counts: StateCounts = {
+    requests: 0,
+    changes: 0,
+    refused: 0,
+    rejected: 0,
+    followBytes: 0,
+    writtenBytes: 0,
+  };
   private keys = new Map<string, StoredValue>();
   private sorted: string[] | null = null;
   private log: Change[] = [];
@@ -98,7 +112,7 @@
   private readonly requests: RateLimit;
   private readonly writes: RateLimit;
 
-  constructor(limits: StateLimits) {
+  constructor(private readonly limits: StateLimits) {
     this.requests = new RateLimit(limits.requestsPerS);
     this.writes = new RateLimit(limits.writesPerS);
   }
@@ -220,6 +234,14 @@
       return [429, { error: 'changes' }];
     }
     this.counts.changes += then.length;
+    const violation = transactionViolation(
+      { when, then },
+      { valueBytes: this.limits.valueKb * 1024, txnOps: this.limits.transactionOps },
+    );
+    if (violation !== null) {
+      this.counts.rejected++;
+      return [400, { error: violation }];
+    }
     for (const { tenancy } of then)
       if (tenancy !== undefined && !this.leases.has(tenancy)) return [400, { error: 'no such lease' }];
     const failed = when
--- a/packages/scale-test/src/test-cluster.ts
+++ b/packages/scale-test/src/test-cluster.ts
@@ -85,9 +85,9 @@
     const { options } = this.dependencies;
     const addresses = await controllerAddresses(options.controllers, options.zones);
     this.cloudServer = await serveJson((request, respond) => this.cloud.handle(request, respond));
-    const { requestsPerS, writesPerS } = options;
-    this.stateAddress =
-      (await this.state.setUp({ role: 'state', limits: { requestsPerS, writesPerS } })) ?? '';
+    const { requestsPerS, writesPerS, valueKb, transactionOps } = options;
+    const limits = { requestsPerS, writesPerS, valueKb, transactionOps };
+    this.stateAddress = (await this.state.setUp({ role: 'state', limits })) ?? '';
     await Promise.all(this.workers.map((child, i) => this.setUpWorkers(child, i, addresses)));
     this.controllers = this.createControllers(addresses, this.cloudServer.address);
     for (const controller of this.controllers) controller.start();
--- a/packages/scale-test/test/scale.test.ts
+++ b/packages/scale-test/test/scale.test.ts
@@ -50,6 +50,7 @@
     const result = await new ScaleRun(SMALL_RUN, __filename, () => undefined).play();
     assert.deepEqual(result.violations, []);
     assert.deepEqual(result.unexpectedEnds, []);
+    assert.equal(result.state.rejected, 0, 'no transaction exceeds a limit of the state service');
     assert.equal(result.stopped, null);
     assert.ok(result.startsPerS > 1, `${result.startsPerS} starts a second`);
     assert.ok(result.users.done > 0, 'at least one job is done');
--- a/packages/simulation/src/world/rules.ts
+++ b/packages/simulation/src/world/rules.ts
@@ -123,6 +123,12 @@
     this.violations.push(`${rule}: ${what}`);
   }
 
+  /** Records that the state service rejected a transaction for good; a reason that repeats is recorded once. */
+  recordRejectedTransaction(reason: string): void {
+    const violation = `transaction_rejected: ${reason}`;
+    if (!this.violations.includes(violation)) this.violations.push(violation);
+  }
+
   /**
    * Records that a response contradicts the fact stored under `factKey`. The violation stays unconfirmed where it is known
    * which controllers reported that fact.
--- a/packages/simulation/src/world/state-service/connection.ts
+++ b/packages/simulation/src/world/state-service/connection.ts
@@ -4,6 +4,7 @@
 import { micros } from '@lilacvalve/runtime/micros';
 import {
   Refused,
+  Rejected,
   type Changes,
   type Condition,
   type Found,
@@ -40,7 +41,7 @@
 
 /** Converts the outcome of a request to the effect that its caller receives. */
 const toEffect = <A>(outcome: A | StateFailure): Effect.Effect<A, StateFailure> =>
-  outcome instanceof Refused || outcome instanceof NoResponse
+  outcome instanceof Refused || outcome instanceof Rejected || outcome instanceof NoResponse
     ? Effect.fail(outcome)
     : Effect.succeed(outcome);
 
--- a/packages/simulation/src/world/state-service/state-service.ts
+++ b/packages/simulation/src/world/state-service/state-service.ts
@@ -1,6 +1,7 @@
 /** Stand-in for the state service, with outages, refusals, lost responses, delayed transactions and data losses. */
 import {
-  Refused,
+  Rejected,
+  wireTransaction,
   type Changes,
   type Condition,
   type Outcome,
@@ -8,6 +9,10 @@
   type Write,
 } from '@lilacvalve/controller/state-store/client';
 import type { StatePort } from '@lilacvalve/controller/state-store/port';
+import {
+  transactionViolation,
+  type StateServiceLimits,
+} from '@lilacvalve/controller/support/transaction-rules';
 import type { RandomSource } from '@lilacvalve/controller/support/random-source';
 import type { Links } from '../links.js';
 import type { Time } from '../time.js';
@@ -36,6 +41,10 @@
   /** Whether a watch that reaches its time limit while the service refuses its controller ends without a response. */
   watchesWait = false;
 
+  /** The limits on a transaction. */
+  transactionLimits: StateServiceLimits = { valueBytes: 16 * 1024, txnOps: 20 };
+  /** Called with the reason of each transaction that exceeds a limit. */
+  onRejected: (reason: string) => void = () => undefined;
   /** Called with every change as it is applied. `value` undefined: the key is deleted. */
   onPut: (key: string, value: string | undefined) => void = () => undefined;
   /** Called with each change of a transaction after the whole commit. `value` undefined: the key is deleted. */
@@ -136,11 +145,19 @@
     this.requests[second] = (this.requests[second] ?? 0) + 1;
   }
 
-  /** Executes a compare-and-swap transaction. Returns `Refused` (400) if a write refers to a lease that does not exist. */
+  /**
+   * Executes a compare-and-swap transaction. Returns `Rejected` if it exceeds a limit or a write refers to a lease that does
+   * not exist.
+   */
   transact(when: readonly Condition[], then: readonly Write[]): Outcome | StateFailure {
+    const violation = transactionViolation(wireTransaction(when, then), this.transactionLimits);
+    if (violation !== null) {
+      this.onRejected(violation);
+      return new Rejected({ reason: violation });
+    }
     for (const write of then)
       if ('set' in write && write.lease !== undefined && !this.leases.has(write.lease))
-        return new Refused({ status: 400, reason: 'no such lease' });
+        return new Rejected({ reason: 'no such lease' });
     const writes = JSON.parse(JSON.stringify(then)) as SentWrite[];
     const outcome = this.store.transact(when, writes);
     if (!outcome.ok || writes.length === 0) return outcome;
--- a/packages/simulation/src/world/world.ts
+++ b/packages/simulation/src/world/world.ts
@@ -108,6 +108,8 @@
     if (faults.manySmallJobs)
       this.state.limits = { rps: 100, writeRps: 25, controllers: size.controllerLabels.length };
     this.rules = new Rules(workers.cancel, this.limits);
+    this.state.transactionLimits = this.settings('n0').state;
+    this.state.onRejected = (reason) => this.rules.recordRejectedTransaction(reason);
     const { links, rules, state } = this;
     this.log = new FaultLog(time, rules);
     const { log } = this;
