--- a/packages/controller/src/api/admissibility.ts
+++ b/packages/controller/src/api/admissibility.ts
@@ -1,5 +1,6 @@
 /** Checks whether a job could ever run on this deployment. Pure functions. */
 import type { JobSpec } from '../jobs/model.js';
+import { canBeStored } from '../jobs/stored-size.js';
 import type { MachineType } from '../provisioning/model.js';
 import type { Settings } from '../settings/settings.js';
 
@@ -52,3 +53,20 @@
       .filter((type) => fitsType(spec, type))
       .flatMap((type) => (spec.zone === null ? type.zones : type.zones.filter((zone) => zone === spec.zone))),
   );
+
+/** Returns the number of the job's tasks that a machine of this type can run at once. */
+const tasksPerMachine = (spec: JobSpec, type: MachineType): number => {
+  const perResource = (needed: number, available: number): number =>
+    needed > 0 ? Math.floor((available + EPSILON) / needed) : spec.tasks;
+  return Math.min(
+    perResource(spec.cpus, type.cpus),
+    perResource(spec.gpus, type.gpus),
+    perResource(spec.memGb, type.memGb),
+  );
+};
+
+/** Whether the state service can hold the job and the tasks that must run at the same time in a value of `maxBytes`. */
+export const isStorable = (spec: JobSpec, types: readonly MachineType[], maxBytes: number): boolean => {
+  const perMachine = types.filter((type) => fitsType(spec, type)).map((type) => tasksPerMachine(spec, type));
+  return canBeStored(spec, Math.max(1, ...perMachine), maxBytes);
+};
--- a/packages/controller/src/api/cancellation.ts
+++ b/packages/controller/src/api/cancellation.ts
@@ -1,16 +1,23 @@
 /** Cancellation of a job. It is confirmed after it has been committed and read back. */
 import { type HttpResponse, retryLater } from '@lilacvalve/runtime/http-server';
 import { Effect, Either, Random } from 'effect';
-import { encodeFinalState, encodeJob } from '../jobs/codec.js';
+import { cancelStoredJob, encodeFinalState, encodeJob, encodeJobWithin } from '../jobs/codec.js';
 import { activeJobKey, finalStateKey, jobUnchanged } from '../jobs/keys.js';
-import { isComplete } from '../jobs/model.js';
+import { isComplete, type Job } from '../jobs/model.js';
 import { Priority } from '../state-store/budget.js';
-import type { Condition, StateFailure, Write } from '../state-store/client.js';
+import {
+  Rejected,
+  type Condition,
+  type Outcome,
+  type StateFailure,
+  type Write,
+} from '../state-store/client.js';
+import { maxValueBytes } from '../state-store/transaction-limits.js';
 import type { ApiContext } from './api-context.js';
 import type { Confirmation } from './confirmation.js';
 import type { JobLookup, JobLookupResult } from './job-lookup.js';
 import { jobResponse, stateUnavailable } from './responses.js';
-import { orphanRemoval, COMMIT_TIMEOUT_MS, RETRY_TIMEOUT, isOverloaded, notReady } from './write-policy.js';
+import { orphanRemoval, COMMIT_TIMEOUT_MS, RETRY_TIMEOUT, mayRetry, notReady } from './write-policy.js';
 
 /** Delay between two attempts: a fixed part plus a random part of up to `jitter`. */
 const RETRY_DELAY_MS = { base: 60, jitter: 80 };
@@ -45,37 +52,53 @@
         // (jobs/job-state.ts).
         if (Either.isRight(result) && result.right.ok) return yield* this.confirm(id, result.right.revision);
         if (clock() - startedAt > RETRY_TIMEOUT) return retryLater('busy');
-        if (Either.isLeft(result) && isOverloaded(result.left)) return yield* stateUnavailable(result.left);
+        if (Either.isLeft(result) && !mayRetry(result.left)) return yield* stateUnavailable(result.left);
         yield* Effect.sleep(RETRY_DELAY_MS.base + RETRY_DELAY_MS.jitter * (yield* Random.next));
       }
     }).pipe(Effect.catchAll(stateUnavailable));
   }
 
-  private commit(id: string, found: Cancellable) {
-    const { conditions, writes } = this.compareAndSwap(id, found);
+  private commit(id: string, found: Cancellable): Effect.Effect<Outcome, StateFailure> {
+    if (found.kind === 'orphaned') return this.transact(this.orphanCancellation(id, found.orphan.tasks));
+    return Effect.flatMap(this.cancelledValue(found.job), (value) =>
+      this.transact({
+        conditions: jobUnchanged(id, found.job.revision),
+        writes: [{ set: activeJobKey(id), value }],
+      }),
+    );
+  }
+
+  private transact({ conditions, writes }: CompareAndSwap): Effect.Effect<Outcome, StateFailure> {
     return this.context.store.transact(conditions, writes, Priority.Commit, COMMIT_TIMEOUT_MS);
   }
 
-  private compareAndSwap(id: string, found: Cancellable): CompareAndSwap {
-    if (found.kind === 'orphaned') {
-      const final = encodeFinalState({ status: 'cancelled', tasks: found.orphan.tasks });
-      return {
-        conditions: [
-          { key: activeJobKey(id), revision: 0 },
-          { key: finalStateKey(id), revision: 0 },
-        ],
-        writes: [{ set: finalStateKey(id), value: final }, ...orphanRemoval(this.context.jobState, id)],
-      };
-    }
-    const { job } = found;
-    // The value still includes the log entries up to `lastSequence`; later ones are applied on top of it.
-    const value = encodeJob({ ...job, cancelled: true }, job.lastSequence);
+  private orphanCancellation(id: string, tasks: number): CompareAndSwap {
+    const final = encodeFinalState({ status: 'cancelled', tasks });
     return {
-      conditions: jobUnchanged(id, job.revision),
-      writes: [{ set: activeJobKey(id), value }],
+      conditions: [
+        { key: activeJobKey(id), revision: 0 },
+        { key: finalStateKey(id), revision: 0 },
+      ],
+      writes: [{ set: finalStateKey(id), value: final }, ...orphanRemoval(this.context.jobState, id)],
     };
   }
 
+  /**
+   * Returns the value of the job's key that cancels it. It includes the log entries up to `lastSequence`; later ones are
+   * applied on top of it. A job that has outgrown its key, which a controller of an earlier version may have let happen, gets
+   * its stored value with the mark of the cancellation, on top of which all its log entries are applied.
+   */
+  private cancelledValue(job: Job): Effect.Effect<unknown, StateFailure> {
+    const maxBytes = maxValueBytes(this.context.settings.state);
+    const value = encodeJobWithin({ ...job, cancelled: true }, job.lastSequence, maxBytes);
+    if (value !== null) return Effect.succeed(value);
+    return Effect.flatMap(this.context.store.get(activeJobKey(job.spec.id)), ({ entry }) =>
+      entry === null
+        ? Effect.fail(new Rejected({ reason: 'the job is too large and has no key of its own' }))
+        : Effect.succeed(cancelStoredJob(entry.value, maxBytes)),
+    );
+  }
+
   /** Responds to a cancellation committed at `revision`, from a view that includes it. */
   private confirm(id: string, revision: number): Effect.Effect<HttpResponse, StateFailure> {
     return Effect.flatMap(this.lookup.find(id), (current) => {
--- a/packages/controller/src/api/submission.ts
+++ b/packages/controller/src/api/submission.ts
@@ -8,15 +8,16 @@
 import { bindToOccurrence } from '../calendar/cutoff-binding.js';
 import { encodeJob, JOB_ID, readSubmission } from '../jobs/codec.js';
 import { activeJobKey, finalStateKey } from '../jobs/keys.js';
-import type { Job, JobSpec } from '../jobs/model.js';
+import { acceptedJob, type JobSpec } from '../jobs/model.js';
+import { maxValueBytes } from '../state-store/transaction-limits.js';
 import { Priority } from '../state-store/budget.js';
 import type { StateFailure } from '../state-store/client.js';
-import { rejectionReason } from './admissibility.js';
+import { isStorable, rejectionReason } from './admissibility.js';
 import type { ApiContext } from './api-context.js';
 import { Confirmation } from './confirmation.js';
 import { JobLookup, UNCERTAIN } from './job-lookup.js';
 import { acceptedResponse, stateUnavailable } from './responses.js';
-import { orphanRemoval, COMMIT_TIMEOUT_MS, RETRY_TIMEOUT, isOverloaded, notReady } from './write-policy.js';
+import { orphanRemoval, COMMIT_TIMEOUT_MS, RETRY_TIMEOUT, mayRetry, notReady } from './write-policy.js';
 
 /** Delay between two attempts: a fixed part plus a random part of up to `jitter`. */
 const RETRY_DELAY_MS = { base: 100, jitter: 150 };
@@ -43,21 +44,6 @@
   return Either.right({ id, body });
 };
 
-/** The initial state of an accepted job. */
-const newJob = (spec: JobSpec): Job => ({
-  spec,
-  cancelled: false,
-  attempt: 0,
-  completed: new Set(),
-  placed: new Map(),
-  failedOn: new Set(),
-  loans: new Map(),
-  preemptedForServices: 0,
-  revision: 0,
-  compactedTo: 0,
-  lastSequence: 0,
-});
-
 /** Handles submissions. */
 export class SubmissionHandler {
   constructor(
@@ -75,42 +61,54 @@
       const startedAt = this.context.clock();
       const checked = yield* this.check(id, body);
       if (Either.isLeft(checked)) return checked.left;
-      const { jobState, settings } = this.context;
-      const cutoffBinding = bindToOccurrence(jobState.calendars.current, checked.right);
-      const value = encodeJob(newJob({ ...checked.right, cutoffBinding }), 0);
-      // Only `hostsKinds` can be too long: all other fields are short, or name an existing team or zone.
-      if (Buffer.byteLength(JSON.stringify(value)) > settings.state.valueBytes)
-        return json(400, { error: 'hostsKinds: too long' });
-      return yield* this.create(id, value, startedAt);
+      return yield* this.create(id, encodeJob(acceptedJob(checked.right), 0), startedAt);
     }).pipe(Effect.catchAll(stateUnavailable));
   }
 
   /** Returns the specification of the job to create, or the response if none is to be created. */
   private check(id: string, body: object): Effect.Effect<Either.Either<JobSpec, HttpResponse>, StateFailure> {
     return Effect.gen(this, function* () {
-      const { jobState, settings, lossDetector } = this.context;
+      const { jobState, lossDetector } = this.context;
       if (!this.lookup.isReadable()) return Either.left(notReady(lossDetector));
       // A known job gets its state as the response, whatever the request's body contains.
       if (jobState.finalStates.has(id) || jobState.jobs.has(id))
         return Either.left(yield* this.respondAsKnown(id));
       const decoded = readSubmission(body, this.context.dayTime());
-      const types = this.context.types();
-      const rejection = Either.isLeft(decoded) ? null : rejectionReason(decoded.right, settings, types);
-      if (Either.isLeft(decoded) || rejection !== null) {
+      const admitted = Either.match(decoded, {
+        onLeft: (reason) => Either.left(json(400, { error: reason })),
+        onRight: (spec) => this.admit(spec),
+      });
+      if (Either.isLeft(admitted)) {
         const found = yield* this.lookup.find(id);
         if (found.kind !== 'unknown') return Either.left(yield* this.confirmation.respondToChange(id, found));
-        return Either.left(
-          Either.isLeft(decoded) ? json(400, { error: decoded.left }) : json(422, { error: rejection }),
-        );
+        return admitted;
       }
-      if (types === null) return Either.left(retryLater('machine types unknown'));
+      if (this.context.types() === null) return Either.left(retryLater('machine types unknown'));
       if (!this.context.mayBeNew(id) || jobState.damaged.has(activeJobKey(id)))
         return Either.left(retryLater(UNCERTAIN.reason));
       if (yield* this.isFinishedByRebuild(id)) return Either.left(yield* this.respondAsKnown(id));
-      return Either.right(decoded.right);
+      return admitted;
     });
   }
 
+  /** Returns the job's specification with the cutoff it is bound to, or the response if the job can never run. */
+  private admit(submitted: JobSpec): Either.Either<JobSpec, HttpResponse> {
+    const { jobState, settings } = this.context;
+    const types = this.context.types();
+    const rejection = rejectionReason(submitted, settings, types);
+    if (rejection !== null) return Either.left(json(422, { error: rejection }));
+    const cutoffBinding = bindToOccurrence(jobState.calendars.current, submitted);
+    const spec: JobSpec = { ...submitted, cutoffBinding };
+    if (types === null) return Either.right(spec);
+    const maxBytes = maxValueBytes(settings.state);
+    // All other fields are short, or name an existing team or zone.
+    if (!isStorable({ ...spec, shape: 'array' }, types, maxBytes))
+      return Either.left(json(400, { error: 'hostsKinds: too long' }));
+    return isStorable(spec, types, maxBytes)
+      ? Either.right(spec)
+      : Either.left(json(422, { error: 'a gang of so many tasks exceeds what the state service can hold' }));
+  }
+
   private respondAsKnown(id: string): Effect.Effect<HttpResponse, StateFailure> {
     return Effect.flatMap(this.lookup.find(id), (found) => this.confirmation.respondToChange(id, found));
   }
@@ -149,7 +147,7 @@
           );
         }
         // The request was refused or got no response. The conditions make a retry safe in both cases.
-        if (clock() - startedAt > RETRY_TIMEOUT || isOverloaded(result.left))
+        if (clock() - startedAt > RETRY_TIMEOUT || !mayRetry(result.left))
           return yield* stateUnavailable(result.left);
         yield* Effect.sleep(RETRY_DELAY_MS.base + RETRY_DELAY_MS.jitter * (yield* Random.next));
       }
--- a/packages/controller/src/api/write-policy.ts
+++ b/packages/controller/src/api/write-policy.ts
@@ -15,9 +15,12 @@
 /** Timeout of one transaction, in milliseconds. */
 export const COMMIT_TIMEOUT_MS = 1200;
 
-/** Whether the state service refused the request because of overload. A retry would add to the load. */
-export const isOverloaded = (failure: StateFailure): boolean =>
-  failure._tag === 'Refused' && failure.status === 503;
+/**
+ * Whether a failed change may be sent again as it is. Not after a rejection, which a retry can't change, and not while the
+ * state service is overloaded, since a retry would add to the load.
+ */
+export const mayRetry = (failure: StateFailure): boolean =>
+  failure._tag === 'NoResponse' || (failure._tag === 'Refused' && failure.status !== 503);
 
 /** Response to a change while the store has not been read or a data loss is suspected. */
 export const notReady = (lossDetector: Pick<DataLossDetector, 'suspected'>): HttpResponse =>
--- a/packages/controller/src/jobs/codec.ts
+++ b/packages/controller/src/jobs/codec.ts
@@ -10,6 +10,7 @@
   type StoredLoans,
   type StoredLoanChanges,
 } from '../lending/codec.js';
+import { jsonBytes } from '../state-store/transaction-limits.js';
 import { packFinalState, unpackFinalState } from './final-states.js';
 import { decodeRanges, encodeRanges } from './ranges.js';
 import {
@@ -105,7 +106,7 @@
   );
 
 /** The stored form of a job, as the value of the job's own key or as an item of a bundle. */
-interface StoredJob {
+export interface StoredJob {
   /** Job class. */
   readonly c: string;
   /** Team. */
@@ -170,21 +171,21 @@
   Number.isSafeInteger(value.t);
 const flag = (isSet: boolean): 0 | 1 => (isSet ? 1 : 0);
 
-/** The stored form of a job. `compactedTo`: the last log entry that is included in `job`. */
-export const encodeJob = (job: Job, compactedTo: number): StoredJob => {
-  const jobSpec = job.spec;
+/** The stored form of a job's placements. Without `withStartTimes` they are stored as started at an unknown time. */
+const encodePlacements = (job: Job, withStartTimes: boolean): NonNullable<StoredJob['p']> => {
   const p: Record<string, [number, string, number?][]> = {};
   // Tasks that one log entry started on one machine have the same attempt and time, and are stored as one group.
   const groupsByMachine = new Map<
     string,
     { readonly attempt: number; readonly since: Micros; tasks: number[] }[]
   >();
-  for (const placement of job.placed.values()) {
-    let groups = groupsByMachine.get(placement.machine);
-    if (!groups) groupsByMachine.set(placement.machine, (groups = []));
-    const group = groups.find((g) => g.attempt === placement.attempt && g.since === placement.since);
-    if (group) group.tasks.push(placement.task);
-    else groups.push({ attempt: placement.attempt, since: placement.since, tasks: [placement.task] });
+  for (const { attempt, machine, since: startedAt, task } of job.placed.values()) {
+    const since = withStartTimes ? startedAt : (0 as Micros);
+    let groups = groupsByMachine.get(machine);
+    if (!groups) groupsByMachine.set(machine, (groups = []));
+    const group = groups.find((g) => g.attempt === attempt && g.since === since);
+    if (group) group.tasks.push(task);
+    else groups.push({ attempt, since, tasks: [task] });
   }
   for (const [machine, groups] of groupsByMachine) {
     p[machine] = groups.map(({ attempt, since, tasks }) =>
@@ -193,6 +194,15 @@
         : [attempt, encodeRanges(tasks), since - job.spec.submitted],
     );
   }
+  return p;
+};
+
+/**
+ * The stored form of a job. `compactedTo`: the last log entry that is included in `job`. `withStartTimes`: whether it holds
+ * when each placed task was started.
+ */
+export const encodeJob = (job: Job, compactedTo: number, withStartTimes = true): StoredJob => {
+  const jobSpec = job.spec;
   return {
     c: jobSpec.jobClass,
     o: jobSpec.team,
@@ -212,7 +222,7 @@
     ...(compactedTo > 0 ? { f: compactedTo } : {}),
     ...(job.attempt > 0 ? { a: job.attempt } : {}),
     ...(job.completed.size > 0 ? { d: encodeRanges(job.completed) } : {}),
-    ...(groupsByMachine.size > 0 ? { p } : {}),
+    ...(job.placed.size > 0 ? { p: encodePlacements(job, withStartTimes) } : {}),
     ...(job.failedOn.size > 0 ? { x: [...job.failedOn] } : {}),
     ...(jobSpec.cutoffBinding === null ? {} : { k: jobSpec.cutoffBinding }),
     ...(job.cutoffRisk ? { q: job.cutoffRisk } : {}),
@@ -221,6 +231,26 @@
   };
 };
 
+/**
+ * The stored form of a job in at most `maxBytes` of JSON. The start times of the placed tasks are left out if they do not
+ * fit: only the accounts need them, and count such tasks as started at an unknown time. null: the job does not fit even so.
+ */
+export const encodeJobWithin = (job: Job, compactedTo: number, maxBytes: number): StoredJob | null => {
+  const complete = encodeJob(job, compactedTo);
+  if (jsonBytes(complete) <= maxBytes) return complete;
+  const withoutStartTimes = encodeJob(job, compactedTo, false);
+  return jsonBytes(withoutStartTimes) <= maxBytes ? withoutStartTimes : null;
+};
+
+/**
+ * A job's stored value with the mark of its cancellation. The log entries that are not compacted into the value still apply.
+ * Machine types are left out if the mark does not fit into `maxBytes`, since no further task of the job is started.
+ */
+export const cancelStoredJob = (value: unknown, maxBytes: number): unknown => {
+  const cancelled: StoredJob = { ...(value as StoredJob), w: 1 };
+  return jsonBytes(cancelled) <= maxBytes ? cancelled : { ...cancelled, h: null };
+};
+
 /** Decodes the stored form of a job. Throws on a value that `encodeJob` can't have written. */
 export const decodeJob = (id: string, value: unknown, revision: number): Job => {
   const stored = value as StoredJob;
--- a/packages/controller/src/jobs/model.ts
+++ b/packages/controller/src/jobs/model.ts
@@ -75,6 +75,21 @@
   cutoffRisk?: number;
 }
 
+/** Returns the state of a job as it is accepted. */
+export const acceptedJob = (spec: JobSpec): Job => ({
+  spec,
+  cancelled: false,
+  attempt: 0,
+  completed: new Set(),
+  placed: new Map(),
+  failedOn: new Set(),
+  loans: new Map(),
+  preemptedForServices: 0,
+  revision: 0,
+  compactedTo: 0,
+  lastSequence: 0,
+});
+
 /** The changes that one log entry makes to one job. Exits are applied before starts. */
 export interface JobChange {
   /** Tasks that completed. The tasks of a gang complete together. */
--- a/packages/controller/src/metrics.ts
+++ b/packages/controller/src/metrics.ts
@@ -18,6 +18,8 @@
   | 'changes'
   | 'orders'
   | 'turns'
+  /** Jobs whose value does not fit into its key. */
+  | 'oversized'
   /** Heartbeats and batches that cannot be decoded or contradict themselves. */
   | 'malformed'
   /** Heartbeats that are older than the latest one, repeated, or sent by removed machines. */
--- a/packages/controller/src/scheduler/commit.ts
+++ b/packages/controller/src/scheduler/commit.ts
@@ -1,5 +1,5 @@
 /** Commits a cycle's observed exits and starts as log entries in one transaction that is conditional on the leadership term. */
-import { Effect } from 'effect';
+import { Data, Effect } from 'effect';
 import { debug, info } from '@lilacvalve/runtime/log';
 import { type Micros, plus } from '@lilacvalve/runtime/micros';
 import { LogEntryUsage } from '../accounts/log-entry-usage.js';
@@ -107,18 +107,24 @@
     }
   });
 
-/** Commits all observed exits, and the starts and loans of a cycle as far as they fit. */
-export const commit = (
-  context: CycleContext,
-  starts: readonly Start[],
-  preemptions: readonly Preemption[] = NO_PREEMPTIONS,
-) =>
+/** What a cycle wants to commit: starts, and preemptions for services. All observed exits are committed with them. */
+interface Decisions {
+  readonly starts: readonly Start[];
+  readonly preemptions: readonly Preemption[];
+}
+
+/** The state service rejected a draft of this size for good. */
+class DraftRejected extends Data.TaggedError('DraftRejected')<{ readonly bytes: number }> {}
+
+/** Drafts the decisions in a transaction of at most `maxBytes`, and commits them. */
+const commitDraft = (context: CycleContext, { starts, preemptions }: Decisions, maxBytes: number) =>
   Effect.gen(function* () {
     // Later than the preceding log entry, which another controller may have written: clocks differ, and the durations that
     // the accounts compute from these times must not be negative.
     const entryTime = Math.max(context.dayTime(), context.jobState.lastEntryAt + 1) as Micros;
     const booking = new LogEntryUsage(context, entryTime);
-    const draft = draftOf(context, starts, preemptions, booking, cutoffRisksOf(context, entryTime));
+    const risks = cutoffRisksOf(context, entryTime);
+    const draft = draftOf(context, starts, preemptions, booking, risks, maxBytes);
     if (draft.entries.length === 0) return NOTHING_COMMITTED;
     const usage = booking.usage();
     const calendar = context.jobState.calendars.current?.version ?? 0;
@@ -135,7 +141,7 @@
       ],
       entries.map((entry, i) => ({ set: keys[i]!, value: encodeLogEntry(entry.jobs, entry.head) })),
       keys[0]!,
-    );
+    ).pipe(Effect.mapError(() => new DraftRejected({ bytes: draft.bytes })));
     if (outcome === null) return NOTHING_COMMITTED;
     if (!outcome.ok) {
       yield* handleConflict(context, outcome.failed, [predecessor, ...draft.conditions]);
@@ -148,3 +154,25 @@
       yield* info('loan ended', { term: context.leaderTerm.number, ...loan });
     return { lendingPreemptions: draft.lendingPreemptions, hasBacklog: !draft.complete };
   });
+
+/** Maximum drafts of one commit: each is half as large as the one that was rejected before it. */
+const MAX_DRAFTS = 5;
+
+/**
+ * Commits all observed exits, and the starts and loans of a cycle as far as they fit. A transaction that the state service
+ * rejects is never sent again as it is: a smaller one takes its place, so that one oversized entry can't end all scheduling.
+ */
+export const commit = (
+  context: CycleContext,
+  starts: readonly Start[],
+  preemptions: readonly Preemption[] = NO_PREEMPTIONS,
+): Effect.Effect<CommitResult> =>
+  Effect.gen(function* () {
+    let maxBytes = Number.POSITIVE_INFINITY;
+    for (let drafts = 0; drafts < MAX_DRAFTS; drafts++) {
+      const result = yield* Effect.either(commitDraft(context, { starts, preemptions }, maxBytes));
+      if (result._tag === 'Right') return result.right;
+      maxBytes = result.left.bytes / 2;
+    }
+    return NOTHING_COMMITTED;
+  });
--- a/packages/controller/src/scheduler/cycle-input.ts
+++ b/packages/controller/src/scheduler/cycle-input.ts
@@ -17,6 +17,7 @@
 } from './model.js';
 import { RESERVES_AFTER, IN_TIME_RANK, starvingFrom, type ClassObjective, rankOf } from './rank.js';
 import type { CycleContext } from './cycle-context.js';
+import { placementLimits, tasksToStart } from './tasks-to-start.js';
 
 /** A placed task. Its loss and remaining time are computed on demand, since a cycle needs them for few tasks only. */
 class PlacedTaskView implements PlacedTask {
@@ -146,35 +147,6 @@
  */
 const RETRY_OVERDUE = seconds(45);
 
-/**
- * Returns the next tasks of a job that are neither running nor completed, so that at most `maxPlaced` tasks are placed at a
- * time. `exits`: the job's observed exits that are not durable yet. Returns one task at a time of a suspect job.
- */
-const tasksToStart = (
-  job: Job,
-  exits: TaskExits | undefined,
-  suspect: boolean,
-  maxPlaced: number,
-): number[] => {
-  const tasks: number[] = [];
-  const gang = job.spec.shape === 'gang';
-  const running =
-    job.placed.size - (exits ? [...job.placed.keys()].filter((task) => hasExited(exits, task)).length : 0);
-  if (gang || suspect ? running > 0 : running + job.completed.size >= job.spec.tasks) return tasks;
-  // One task of a suspect job shows as well as all tasks whether the job still fails.
-  const count = gang ? job.spec.tasks : suspect ? 1 : maxPlaced - job.placed.size;
-  for (let task = 0; task < job.spec.tasks && tasks.length < count; task++) {
-    if (
-      job.completed.has(task) ||
-      exits?.completed.has(task) ||
-      (job.placed.has(task) && !exits?.exited.has(task))
-    )
-      continue;
-    tasks.push(task);
-  }
-  return tasks;
-};
-
 /** Returns the jobs with tasks to start, as of the commit of all exits observed so far. */
 export const queuedJobsOf = (context: CycleContext, now: Micros): QueuedJob[] => {
   const { registry, jobState, largestJobs } = context;
@@ -186,21 +158,25 @@
   const calendar = jobState.calendars.current;
   const cutoffDay = monotonicDayTime(context);
   const pace = slackInputsOf(context);
-  // A job's key in the store must be able to hold all its placements: about 12 bytes each, in half of a value.
-  const maxPlaced = Math.max(50, Math.floor((context.settings.state.valueBytes * 0.5) / 12));
+  const placementLimit = placementLimits(context);
   for (const job of jobState.jobs.values()) {
     const { spec } = job;
     if (job.cancelled || isComplete(job) || now < registry.retryNotBefore(job, now)) continue;
     const suspect = registry.isSuspect(job, now);
     // Tasks of the job run without a log entry of their start: they are adopted or exit before more tasks are started.
     if (registry.orphanedTasks.has(spec.id)) continue;
-    const tasks = tasksToStart(job, registry.exits.get(spec.id), suspect, maxPlaced);
+    const tasks = tasksToStart(job, registry.exits.get(spec.id), suspect, placementLimit);
     if (tasks.length === 0) continue;
     let objective = objectives.get(spec.jobClass);
     if (!objective) objectives.set(spec.jobClass, (objective = objectiveOf(context, spec.jobClass)));
     const gang = spec.shape === 'gang';
     const starvingSince = largestJobs.has(spec)
-      ? starvingFrom(job, day, limits.get(spec.team), gang ? Number.POSITIVE_INFINITY : maxPlaced)
+      ? starvingFrom(
+          job,
+          day,
+          limits.get(spec.team),
+          gang ? Number.POSITIVE_INFINITY : placementLimit.maxPlaced,
+        )
       : null;
     const boundRank =
       suspect || spec.cutoffBinding === null ? null : cutoffRank(job, calendar, cutoffDay, pace);
--- a/packages/controller/src/scheduler/maintenance.ts
+++ b/packages/controller/src/scheduler/maintenance.ts
@@ -4,13 +4,14 @@
  */
 import { Effect } from 'effect';
 import { info } from '@lilacvalve/runtime/log';
-import { checkpointWrites, joinOldPages, writePage } from '../accounts/maintenance.js';
+import { joinOldPages, writePage } from '../accounts/maintenance.js';
 import { outcomeCountWrites, calendarMaintenance } from '../calendar/cutoff-tracking.js';
-import { encodeFinalState, encodeJob } from '../jobs/codec.js';
-import { ACCOUNTS, activeJobKey, jobUnchanged, finalStateKey, logEntryKey, TERM } from '../jobs/keys.js';
+import { encodeFinalState } from '../jobs/codec.js';
+import { ACCOUNTS, activeJobKey, finalStateKey, TERM } from '../jobs/keys.js';
 import { finalState, type Job } from '../jobs/model.js';
 import { Priority } from '../state-store/budget.js';
-import type { Condition, Write } from '../state-store/client.js';
+import type { Condition, StateFailure, Write } from '../state-store/client.js';
+import { draftCompaction, MAINTENANCE_OPS } from './compaction.js';
 import { transactUntilKnown } from './transact-until-known.js';
 import type { CycleContext } from './cycle-context.js';
 
@@ -19,8 +20,6 @@
  * compaction only deletes the log entry and need not write the job's key.
  */
 const LOG_TAIL_KEPT = 160;
-/** Maximum number of changes in a maintenance transaction: larger ones would wait longer for the write budget. */
-const MAINTENANCE_OPS = 8;
 
 /**
  * Moves finished jobs to their final keys. If a job is cancelled at the same time, the write of the job's key that is
@@ -82,69 +81,6 @@
     return true;
   });
 
-/** A transaction that compacts the log. */
-interface Compaction {
-  readonly when: readonly Condition[];
-  readonly then: readonly Write[];
-  /** The condition on the accounts' checkpoint, which is also in `when`. */
-  readonly checkpointCondition: Condition;
-}
-
-/** Maximum bytes of a transaction that compacts the log. */
-const COMPACTION_BYTES = 48 * 1024;
-
-/** Drafts the writes of the jobs that the oldest log entries name, and the entries' deletion, as far as they fit. */
-const draftCompaction = (context: CycleContext): Compaction => {
-  const { jobState, settings } = context;
-  const upTo = jobState.lastSequence;
-  const ops = settings.state.txnOps;
-  const { checkpoint, accounts } = jobState;
-  // An entry may be deleted only if the checkpoint of the accounts includes the entry's usage rows. A checkpoint is written only
-  // when the last one does not cover the oldest entry, and then covers the following entries, too.
-  const checkpointCondition: Condition = { key: ACCOUNTS, revision: checkpoint.revision };
-  const when: Condition[] = [{ key: TERM, revision: context.leaderTerm.revision }, checkpointCondition];
-  const then: Write[] = [];
-  const writtenJobs = new Set<Job>();
-  let bytes = 0;
-  const oldest = [...jobState.logTail.keys()].sort((a, b) => a - b).slice(0, -1);
-  if (oldest[0]! > checkpoint.upTo) {
-    then.push(...checkpointWrites(context, accounts));
-    bytes = JSON.stringify(then).length;
-  }
-  const covered = then.length > 0 ? accounts.upTo : checkpoint.upTo;
-  for (const sequence of oldest) {
-    if (sequence > covered) break;
-    const jobs: Job[] = [];
-    for (const id of jobState.logTail.get(sequence)!.jobs.keys()) {
-      const job = jobState.jobs.get(id);
-      if (job && job.compactedTo < sequence && !writtenJobs.has(job)) jobs.push(job);
-    }
-    if (then.length + jobs.length + 1 > Math.min(ops, MAINTENANCE_OPS) && then.length > 0) break;
-    const writes: Write[] = jobs.map((job) => ({
-      set: activeJobKey(job.spec.id),
-      // This view has all log entries up to the job's cancellation. The write gives the key a new revision, so an entry that
-      // completes the job in the meantime would seem to precede the cancellation, and the job would become completed after
-      // users were told that it is cancelled. `cancelledFirst` keeps the order.
-      value: encodeJob({ ...job, cancelledFirst: job.cancelled }, upTo),
-    }));
-    const size = JSON.stringify(writes).length;
-    if (bytes + size > COMPACTION_BYTES && then.length > 0) break;
-    if (then.length + writes.length + 1 > ops) {
-      // The entry names more jobs than one transaction can write: some are written now, and the entry is deleted later.
-      then.push(...writes.slice(0, ops));
-      for (const job of jobs.slice(0, ops)) when.push(...jobUnchanged(job.spec.id, job.revision));
-      break;
-    }
-    bytes += size;
-    then.push(...writes, { delete: logEntryKey(sequence) });
-    for (const job of jobs) {
-      writtenJobs.add(job);
-      when.push(...jobUnchanged(job.spec.id, job.revision));
-    }
-  }
-  return { when, then, checkpointCondition };
-};
-
 /**
  * Compacts the log if it has too many entries: the changes of the oldest entries are written to the jobs' own keys, and the
  * entries are deleted.
@@ -166,6 +102,10 @@
       context.lossDetector.suspect('key lost', `${ACCOUNTS} is not at its last revision`);
   });
 
+/** A step whose transaction was rejected or failed must not keep the following steps from running. */
+const isDone = (step: Effect.Effect<boolean, StateFailure>): Effect.Effect<boolean> =>
+  Effect.orElseSucceed(step, () => false);
+
 /**
  * Runs one step of maintenance: the calendar, finished jobs, log compaction and the accounts' pages. Runs concurrently with the
  * scheduling cycles, which must not wait for its writes.
@@ -174,7 +114,7 @@
   Effect.gen(function* () {
     if (!context.mayAct()) return;
     yield* calendarMaintenance(context);
-    if (yield* closeFinishedJobs(context)) return;
-    if (context.mayAct()) yield* compactLog(context);
+    if (yield* isDone(closeFinishedJobs(context))) return;
+    if (context.mayAct()) yield* Effect.ignore(compactLog(context));
     if (context.mayAct() && !(yield* writePage(context))) yield* joinOldPages(context);
   }).pipe(Effect.ignore);
--- a/packages/controller/src/scheduler/run-cycle.ts
+++ b/packages/controller/src/scheduler/run-cycle.ts
@@ -19,7 +19,7 @@
   type Preemption,
 } from './model.js';
 import { commit } from './commit.js';
-import { maxPlacements } from './draft.js';
+import { maxPlacements } from './draft-builder.js';
 import { findIdleMachines } from './idle-machines.js';
 import type { CycleState, CycleContext } from './cycle-context.js';
 import {
--- a/packages/controller/src/scheduler/transact-until-known.ts
+++ b/packages/controller/src/scheduler/transact-until-known.ts
@@ -2,7 +2,7 @@
 import { Effect, Random } from 'effect';
 import { TERM } from '../jobs/keys.js';
 import { Priority } from '../state-store/budget.js';
-import type { Condition, Outcome, Write } from '../state-store/client.js';
+import type { Condition, Outcome, Rejected, Write } from '../state-store/client.js';
 import type { CycleContext } from './cycle-context.js';
 
 /** Outcome of a transaction; `revision` is null if the transaction was applied at an unknown revision. */
@@ -11,7 +11,8 @@
 
 /**
  * Sends the transaction until its outcome is known, or until the leadership term has ended (null). While the leader may not
- * act, the function waits: if it gave up, a log entry might be applied without this controller's knowledge.
+ * act, the function waits: if it gave up, a log entry might be applied without this controller's knowledge. Fails if the
+ * state service rejects the transaction: then no copy of it was or will be applied.
  *
  * `probe`: a key whose condition fails if the transaction was applied before. If a resent transaction fails on it and not on
  * the term, the first copy was applied.
@@ -22,7 +23,7 @@
   then: readonly Write[],
   probe: string,
   priority = Priority.Commit,
-): Effect.Effect<KnownOutcome | null> =>
+): Effect.Effect<KnownOutcome | null, Rejected> =>
   Effect.gen(function* () {
     let mayBeApplied = false;
     for (;;) {
@@ -45,6 +46,7 @@
         if (result.right.ok) context.watcher.noteOwnCommit(result.right.revision);
         return result.right;
       }
+      if (result.left._tag === 'Rejected') return yield* result.left;
       if (result.left._tag === 'NoResponse') mayBeApplied = true;
       yield* Effect.sleep(60 + 80 * (yield* Random.next));
     }
