Rebuild: a bundle never grows, and a job too large for one gets a key of its own

A bundle of rebuilt jobs was rewritten, whenever one of its jobs finished, with all that the others had grown to since, and a job larger than a bundle was wrapped in one, whose value then exceeded the limit: rejected, and repeated for ever. Now the remaining jobs keep their stored forms, on top of which their log entries apply as before, and a large job is written to its own key. Groups are counted in bytes of UTF-8. A rejected step ends its pass.

Tests in transaction-limits.test.ts: with the former rewriting, and without the key of its own, the test of each fails in a scratch copy.

--- a/packages/controller/src/jobs/job-state.ts
+++ b/packages/controller/src/jobs/job-state.ts
@@ -17,7 +17,6 @@
   decodeFinalStates,
   decodeBundle,
   decodeLogEntry,
-  encodeBundle,
   type OrphanedJob,
 } from './codec.js';
 import { FinalStates } from './final-states.js';
@@ -124,8 +123,11 @@
   private quiescentIncarnation: string | null = null;
   /** Id of the incarnation that the `RECOVERED` key names. */
   private recoveredIncarnation: string | null = null;
-  /** Bundles of rebuilt jobs by key. */
-  readonly bundles = new Map<string, { readonly revision: number; readonly ids: readonly string[] }>();
+  /** Bundles of rebuilt jobs by key, with the stored forms of their jobs by id. */
+  readonly bundles = new Map<
+    string,
+    { readonly revision: number; readonly stored: ReadonlyMap<string, unknown> }
+  >();
   /** The key of the bundle that still lists a job, by job id. */
   readonly bundleByJob = new Map<string, string>();
   /** Jobs whose own key is older than their entry in a bundle; see `setJob`. */
@@ -340,15 +342,15 @@
 
   private setBundle(key: string, value: unknown, revision: number): void {
     const jobs = value === undefined ? [] : decodeBundle(value);
-    const listed = new Set(jobs.map((job) => job.spec.id));
-    for (const id of this.bundles.get(key)?.ids ?? []) {
-      if (listed.has(id) || this.bundleByJob.get(id) !== key) continue;
+    const stored = new Map(Object.entries((value ?? {}) as Record<string, unknown>));
+    for (const id of this.bundles.get(key)?.stored.keys() ?? []) {
+      if (stored.has(id) || this.bundleByJob.get(id) !== key) continue;
       this.bundleByJob.delete(id);
       // A job that is taken out of its bundle and has no key of its own is finished.
       if (this.jobs.get(id)?.revision === 0) this.removeJob(id);
     }
     if (value === undefined) this.bundles.delete(key);
-    else this.bundles.set(key, { revision, ids: [...listed] });
+    else this.bundles.set(key, { revision, stored });
     for (const job of jobs) {
       this.bundleByJob.set(job.spec.id, key);
       // A known job has a key of its own, which is newer than the bundle.
@@ -356,7 +358,10 @@
     }
   }
 
-  /** The conditions and writes that remove these jobs from the bundles that still list them. */
+  /**
+   * The conditions and writes that remove these jobs from the bundles that still list them. The remaining jobs keep their
+   * stored forms, on top of which their log entries apply, so that a bundle never grows.
+   */
   removalFromBundles(ids: readonly string[]): { readonly when: Condition[]; readonly then: Write[] } {
     const when: Condition[] = [];
     const then: Write[] = [];
@@ -364,11 +369,13 @@
     for (const key of new Set(ids.flatMap((id) => this.bundleByJob.get(id) ?? []))) {
       const bundle = this.bundles.get(key)!;
       when.push({ key, revision: bundle.revision });
-      const remaining = bundle.ids.flatMap((id) => {
+      const remaining = [...bundle.stored].filter(([id]) => {
         const job = this.jobs.get(id);
-        return job && !removed.has(id) && (job.revision === 0 || this.newerInBundle.has(id)) ? [job] : [];
+        return job && !removed.has(id) && (job.revision === 0 || this.newerInBundle.has(id));
       });
-      then.push(remaining.length === 0 ? { delete: key } : { set: key, value: encodeBundle(remaining) });
+      then.push(
+        remaining.length === 0 ? { delete: key } : { set: key, value: Object.fromEntries(remaining) },
+      );
     }
     return { when, then };
   }
--- a/packages/controller/src/recovery/write-back.ts
+++ b/packages/controller/src/recovery/write-back.ts
@@ -15,7 +15,10 @@
 /** Maximum passes. A second one is needed only if writes failed or other processes wrote at the same time. */
 const MAX_PASSES = 20;
 
-/** Applies one step and retries until the store responds. Returns false if a condition failed or the term has ended. */
+/**
+ * Applies one step and retries until the store responds. Returns false if a condition failed, the state service rejected the
+ * step, or the term has ended.
+ */
 export const applyStep = (context: RebuildContext, step: WriteStep): Effect.Effect<boolean> =>
   Effect.gen(function* () {
     const when = [{ key: TERM, revision: context.leaderTerm.revision }, ...step.when];
@@ -27,6 +30,7 @@
       }
       const result = yield* Effect.either(context.store.transact(when, step.then, Priority.Commit, 1500));
       if (result._tag === 'Right') return result.right.ok;
+      if (result.left._tag === 'Rejected') return false;
       yield* Effect.sleep(60 + 80 * (yield* Random.next));
     }
   });
--- a/packages/controller/src/recovery/write-steps.ts
+++ b/packages/controller/src/recovery/write-steps.ts
@@ -1,6 +1,12 @@
 /** Turns a rebuild's plan into transactions that respect the limits of the state service. Pure, without I/O. */
 import type { JobState } from '../jobs/job-state.js';
-import { encodeFinalState, encodeJob, encodeFinalStates, encodeBundle } from '../jobs/codec.js';
+import {
+  encodeFinalState,
+  encodeJob,
+  encodeJobWithin,
+  encodeFinalStates,
+  encodeBundle,
+} from '../jobs/codec.js';
 import {
   activeJobKey,
   jobUnchanged,
@@ -13,6 +19,7 @@
 import type { Job } from '../jobs/model.js';
 import type { Settings } from '../settings/settings.js';
 import type { Condition, Write } from '../state-store/client.js';
+import { jsonBytes, maxValueBytes } from '../state-store/transaction-limits.js';
 import type { RebuildPlan } from './rebuild-plan.js';
 
 /**
@@ -24,6 +31,8 @@
 const MAX_FINALS_PER_PAGE = 300;
 /** Maximum finished jobs in one transaction. Each has up to two changes of its own and one of the bundle that lists it. */
 const MAX_FINALS_PER_STEP = 6;
+/** Bytes that a bundle or page adds to an item: its job id, quotes, a colon and a comma. */
+const ITEM_OVERHEAD_BYTES = 48;
 /** Conditions that every transaction carries: on the term and on the incarnation. */
 const FIXED_CONDITIONS = 2;
 
@@ -53,7 +62,7 @@
   const groups: A[][] = [];
   let size = 0;
   for (const item of items) {
-    const itemSize = JSON.stringify(encode(item)).length + 24;
+    const itemSize = jsonBytes(encode(item)) + ITEM_OVERHEAD_BYTES;
     const last = groups[groups.length - 1];
     if (last === undefined || last.length >= maxCount || size + itemSize > maxBytes) {
       groups.push([item]);
@@ -79,11 +88,17 @@
   { key: finalStateKey(id), revision: 0 },
 ];
 
+/** Writes a job to its own key. The value leaves out start times that do not fit (`encodeJobWithin`). */
+const jobWrite = (job: Job, sequence: number, maxBytes: number): Write => ({
+  set: activeJobKey(job.spec.id),
+  value: encodeJobWithin(job, sequence, maxBytes) ?? encodeJob(job, sequence),
+});
+
 /** Overwrites jobs that the store has in another state, each in a step of its own. */
-const differingSteps = (plan: RebuildPlan, sequence: number): WriteStep[] =>
+const differingSteps = (plan: RebuildPlan, sequence: number, maxBytes: number): WriteStep[] =>
   plan.differing.map(({ job, revision }) => ({
     when: jobUnchanged(job.spec.id, revision),
-    then: [{ set: activeJobKey(job.spec.id), value: encodeJob(job, sequence) }],
+    then: [jobWrite(job, sequence, maxBytes)],
   }));
 
 /**
@@ -91,14 +106,20 @@
  * orphaned job at the same time: a cancellation that arrives late is conditional on the job's key being absent, and an entry
  * in a bundle would not make it fail.
  */
-const orphanedStep = (job: Job, sequence: number): WriteStep => {
+const orphanedStep = (job: Job, sequence: number, maxBytes: number): WriteStep => {
   const { id } = job.spec;
   return {
     when: jobUnchanged(id, 0),
-    then: [{ set: activeJobKey(id), value: encodeJob(job, sequence) }, { delete: orphanedJobKey(id) }],
+    then: [jobWrite(job, sequence, maxBytes), { delete: orphanedJobKey(id) }],
   };
 };
 
+/** Writes a job that the store does not have and that a bundle can't hold, under a key of its own. */
+const largeJobStep = (job: Job, sequence: number, maxBytes: number): WriteStep => ({
+  when: jobUnchanged(job.spec.id, 0),
+  then: [jobWrite(job, sequence, maxBytes)],
+});
+
 /** Writes jobs that the store does not have, in bundles. */
 const bundleSteps = (
   jobs: readonly Job[],
@@ -163,14 +184,21 @@
   plan: RebuildPlan,
   pass: WritePass,
 ): WriteStep[] => {
+  const maxJobBytes = maxValueBytes(state);
   const maxBytes = Math.min(MAX_BUNDLE_BYTES, state.valueBytes * 0.8);
   const maxFinals = Math.max(1, Math.min(MAX_FINALS_PER_STEP, Math.floor(state.txnOps / 3)));
   const isOrphaned = (job: Job): boolean => jobState.orphanedJobs.has(job.spec.id);
+  const orphaned = plan.missing.filter(isOrphaned);
+  const others = plan.missing.filter((job) => !isOrphaned(job));
+  const isLarge = (job: Job): boolean =>
+    jsonBytes(encodeJob(job, pass.sequence)) + ITEM_OVERHEAD_BYTES > maxBytes;
+  const large = new Set(others.filter(isLarge));
   return [
-    ...differingSteps(plan, pass.sequence),
-    ...plan.missing.filter(isOrphaned).map((job) => orphanedStep(job, pass.sequence)),
+    ...differingSteps(plan, pass.sequence, maxJobBytes),
+    ...orphaned.map((job) => orphanedStep(job, pass.sequence, maxJobBytes)),
+    ...[...large].map((job) => largeJobStep(job, pass.sequence, maxJobBytes)),
     ...bundleSteps(
-      plan.missing.filter((job) => !isOrphaned(job)),
+      others.filter((job) => !large.has(job)),
       pass,
       state,
       maxBytes,
--- /dev/null
+++ b/packages/controller/test/transaction-limits.test.ts
@@ -0,0 +1,80 @@
+/** Transactions stay within the limits of the state service, in bytes. */
+import assert from 'node:assert/strict';
+import { test } from 'node:test';
+import { micros } from '@lilacvalve/runtime/micros';
+import { encodeBundle } from '../src/jobs/codec.js';
+import { activeJobKey, JOB_BUNDLES } from '../src/jobs/keys.js';
+import { acceptedJob, applyChange } from '../src/jobs/model.js';
+import { planRebuild } from '../src/recovery/rebuild-plan.js';
+import { writeSteps } from '../src/recovery/write-steps.js';
+import { commit } from '../src/scheduler/commit.js';
+import { runMaintenance } from '../src/scheduler/maintenance.js';
+import { wireTransaction, type Write } from '../src/state-store/client.js';
+import { job } from './support/job.js';
+import { faultFreeController, newJob, SETTINGS, storedJob } from './support/late-store.js';
+import { LONG_CLASS, machineName, startedOneByOne, startOf } from './support/started-jobs.js';
+import { transactionViolation } from './support/transaction-rules.js';
+
+// A log entry that was too large in bytes was sent again as it was, for ever, and ended all scheduling.
+test('a transaction that the state service rejects is not sent again as it is', () => {
+  const jobs = Array.from({ length: 60 }, (_, i) => newJob(`job-${i + 1}`, { spec: { ...job(`job-${i + 1}`).spec, tasks: 400 } })); // prettier-ignore
+  const { service, node, time, turn } = faultFreeController(jobs.map(storedJob));
+  service.limits = { ...SETTINGS.state, valueBytes: 2500 };
+  const starts = [...node.jobState.jobs.values()].map((waiting) => ({
+    job: waiting,
+    attempt: 1,
+    tasksByMachine: new Map(Array.from({ length: 10 }, (_, i) => [machineName(i), [i]])),
+  }));
+  time.fork(commit(turn, starts));
+  time.run(time.now + 5e6);
+  const rejected = time.faults.filter((fault) => fault.startsWith('transaction rejected'));
+  assert.ok(rejected.length > 0, 'the first transaction is rejected');
+  assert.equal(new Set(rejected).size, rejected.length);
+  assert.equal(rejected.length, time.faults.length);
+  assert.ok(node.jobState.jobs.get('job-1')!.placed.size > 0, 'a smaller one is committed');
+});
+
+test('the stand-in rejects what the protocol does not allow', () => {
+  const limits = { valueBytes: 100, txnOps: 2 };
+  const set = (key: string, value: unknown) => ({ when: [], then: [{ set: key, value }] });
+  assert.equal(transactionViolation(set('a', 'é'.repeat(49)), limits), null);
+  assert.match(transactionViolation(set('a', 'é'.repeat(50)), limits)!, /value of a: 102 bytes/);
+  assert.equal(transactionViolation(set('é'.repeat(100), 1), limits), null);
+  assert.match(transactionViolation(set(`${'é'.repeat(100)}x`, 1), limits)!, /invalid key/);
+  assert.match(transactionViolation(set('a b', 1), limits)!, /invalid key/);
+  assert.match(transactionViolation(set('', 1), limits)!, /invalid key/);
+  const when = Array.from({ length: 9 }, (_, i) => ({ k: `k${i}`, stamp: 0 }));
+  assert.match(transactionViolation({ when, then: [] }, limits)!, /9 conditions/);
+  const then = Array.from({ length: 3 }, (_, i) => ({ delete: `k${i}` }));
+  assert.match(transactionViolation({ when: [], then }, limits)!, /3 puts/);
+  const large = { valueBytes: 99_999, txnOps: 9 };
+  assert.match(transactionViolation(set('a', 'é'.repeat(33_000)), large)!, /transaction of 66/);
+});
+
+// A bundle of rebuilt jobs was written with all that its jobs had grown to since.
+test('a bundle that loses a finished job does not grow with the other jobs in it', () => {
+  const [finished, growing] = ['job-2', 'job-1'].map((id) =>
+    newJob(id, { spec: { ...job(id).spec, tasks: 3000 }, cancelled: id === 'job-2' }),
+  );
+  const bundle: Write = { set: `${JOB_BUNDLES}1-000000`, value: encodeBundle([finished!, growing!]) };
+  const { service, node, go, turn } = faultFreeController([bundle, ...startedOneByOne('job-1', 650, 650)]);
+  go(runMaintenance(turn));
+  assert.ok(!node.jobState.jobs.has('job-2'));
+  assert.equal(service.view().jobs.get('job-1')!.placed.size, 650);
+});
+
+test('a rebuild writes a job that a bundle can not hold to a key of its own', () => {
+  const { node } = faultFreeController();
+  const array = acceptedJob({ ...job('job-1').spec, tasks: 3000 });
+  for (let task = 0; task < 682; task++)
+    applyChange(array, startOf(task + 1, machineName(task % 348), [task]), task, micros(1e12 + 9_999 * task));
+  const small = acceptedJob({ ...job('job-2').spec, jobClass: LONG_CLASS });
+  const missing = [array, ...Array.from({ length: 40 }, (_, i) => ({ ...small, spec: { ...small.spec, id: `job-${i + 2}` } }))]; // prettier-ignore
+  const none = planRebuild({ jobs: new Map(), damaged: () => undefined, hasFinal: () => false, generation: 0, revision: 0 }, new Map(), new Map(), 1); // prettier-ignore
+  const steps = writeSteps(node.jobState, SETTINGS.state, { ...none, missing }, { id: 'p', sequence: 9, exclusive: true }); // prettier-ignore
+  for (const { when, then } of steps)
+    assert.equal(transactionViolation(wireTransaction(when, then), SETTINGS.state), null);
+  const keys = steps.flatMap(({ then }) => then.map((write) => ('set' in write ? write.set : '')));
+  assert.equal(keys.filter((key) => key === activeJobKey('job-1')).length, 1);
+  assert.ok(keys.filter((key) => key.startsWith(JOB_BUNDLES)).length > 1);
+});
