--- a/packages/controller/src/accounts/codec.ts
+++ b/packages/controller/src/accounts/codec.ts
@@ -1,5 +1,6 @@
 /** Stored forms of the accounts: their fields of a log entry's header, the checkpoint, and the rows of pages. Amounts are hexadecimal text. */
 import type { Micros } from '@lilacvalve/runtime/micros';
+import { jsonBytes } from '../state-store/transaction-limits.js';
 import { mergeSmallGroups } from './aggregate.js';
 import {
   type Accounts,
@@ -43,9 +44,9 @@
   return [...row.group, ...row.shape, row.rate, ...us];
 };
 /** Bytes that a row takes in a log entry, including the comma that follows it. */
-export const rowByteLength = (row: UsageRow): number => JSON.stringify(encodeUsageRow(row)).length + 1;
+export const rowByteLength = (row: UsageRow): number => jsonBytes(encodeUsageRow(row)) + 1;
 /** Maximum number of bytes that a row of this group takes in a log entry. */
-export const maxRowBytes = (group: Group): number => JSON.stringify(group).length + 130;
+export const maxRowBytes = (group: Group): number => jsonBytes(group) + 130;
 
 export const encodeUsage = (usage: Usage): StoredUsage => ({
   ...(usage.rows.length > 0 ? { s: usage.rows.map(encodeUsageRow) } : {}),
@@ -124,7 +125,7 @@
   const out: A[][] = [[]];
   let size = first;
   for (const item of items) {
-    const itemBytes = JSON.stringify(item).length + 1;
+    const itemBytes = jsonBytes(item) + 1;
     if (size + itemBytes > bytes && out[out.length - 1]!.length > 0) {
       out.push([]);
       size = 0;
@@ -209,7 +210,7 @@
     const rows = lists.flatMap((list, i) =>
       encodeRows(mergeSmallGroups(list, maxGroups)).map((row): ListedRow => [i, ...row] as const),
     );
-    const rowsByValue = chunkByBytes(rows, JSON.stringify(head(1, [])).length + 10, limit);
+    const rowsByValue = chunkByBytes(rows, jsonBytes(head(1, [])) + 10, limit);
     if (rowsByValue.length > MAX_VALUES && maxGroups > 1) continue;
     const [first, ...rest] = rowsByValue;
     return [
--- a/packages/controller/src/calendar/class-durations.ts
+++ b/packages/controller/src/calendar/class-durations.ts
@@ -4,6 +4,9 @@
  * octave each, and old samples lose weight by halving all counts. It takes a few hundred bytes per class and is the same on
  * every controller; a histogram library would keep thousands of counters for more precision than is needed.
  */
+import { lastWithin } from '../state-store/transaction-limits.js';
+
+/** Number of buckets of a class. */
 export const BUCKET_COUNT = 33;
 /**
  * Exponent of the first bucket, in quarters of an octave: ratios of an eighth and less. A task that took exactly its
@@ -61,8 +64,14 @@
   return 2 ** ((counts.length - 1 + FIRST_EXPONENT) / 4);
 };
 
-/** Encodes the durations as a list of pairs. An object would not keep the order of classes whose names are numbers. */
-export const encodeClassDurations = (durations: ClassDurations): unknown => [...durations];
+/**
+ * Encodes the durations as a list of pairs in at most `maxBytes` of JSON; the classes without samples for the longest time are
+ * left out first. An object would not keep the order of classes whose names are numbers.
+ */
+export const encodeClassDurations = (
+  durations: ClassDurations,
+  maxBytes = Number.POSITIVE_INFINITY,
+): unknown => lastWithin([...durations], maxBytes);
 export const decodeClassDurations = (value: unknown): ClassDurations => {
   const list = value as [string, number[]][];
   if (!Array.isArray(list)) throw new Error(`class durations: expected a list, found ${typeof value}`);
--- a/packages/controller/src/calendar/codec.ts
+++ b/packages/controller/src/calendar/codec.ts
@@ -1,5 +1,6 @@
 /** Stored form of the calendar: a head and its pages, and the outcome counts of occurrences. */
 import { createHash } from 'node:crypto';
+import { jsonBytes } from '../state-store/transaction-limits.js';
 import type { Micros } from '@lilacvalve/runtime/micros';
 import { CALENDAR_PAGE } from '../jobs/keys.js';
 import type { Shape, Urgency } from '../jobs/model.js';
@@ -68,7 +69,7 @@
   const pages: { key: string; value: Item[] }[] = [];
   let size = 0;
   for (const item of items) {
-    const itemBytes = JSON.stringify(item).length + 1;
+    const itemBytes = jsonBytes(item) + 1;
     // Messages between controllers have no limit on a page (`bytes` is infinite): the first page is begun all the same.
     if (pages.length === 0 || size + itemBytes > bytes) {
       pages.push({
--- a/packages/controller/src/calendar/cutoff-tracking.ts
+++ b/packages/controller/src/calendar/cutoff-tracking.ts
@@ -7,6 +7,7 @@
 import { type FinalState, isComplete, type Job, type JobChange } from '../jobs/model.js';
 import type { CycleContext } from '../scheduler/cycle-context.js';
 import { Priority } from '../state-store/budget.js';
+import { maxValueBytes } from '../state-store/transaction-limits.js';
 import type { Condition, Write } from '../state-store/client.js';
 import { encodeOutcomeCounts } from './codec.js';
 import {
@@ -216,7 +217,10 @@
         [
           {
             set: CLASS_DURATIONS,
-            value: encodeClassDurations(addSamples(calendars.remembered().classDurations, ratios)),
+            value: encodeClassDurations(
+              addSamples(calendars.remembered().classDurations, ratios),
+              maxValueBytes(context.settings.state),
+            ),
           },
         ],
         Priority.Upkeep,
--- a/packages/controller/src/calendar/publish.ts
+++ b/packages/controller/src/calendar/publish.ts
@@ -12,6 +12,7 @@
 import { decodeCalendar, decodeHead, type CalendarHead, type PagedCalendar } from './codec.js';
 import { paginateCalendar } from './calendars.js';
 import { type Calendar, makeCalendar } from './model.js';
+import { CONDITIONS_PER_OP, jsonBytes } from '../state-store/transaction-limits.js';
 
 export type CalendarStore = Pick<StatePort, 'get' | 'page' | 'transact'>;
 export interface StoreLimits {
@@ -23,6 +24,8 @@
   | { readonly ok: false; readonly reason: string };
 
 const TIMEOUT_MS = 3000;
+/** Conditions besides those on the pages: the incarnation, the head, and a margin. */
+const OTHER_CONDITIONS = 4;
 
 /** Returns all entries below a prefix. */
 export const listAll = (
@@ -108,10 +111,16 @@
     const refuse = (reason: string): PublishResult => ({ ok: false, reason });
     const { head, pages } = paginateCalendar(calendar, limits.valueBytes);
     // The transaction that changes the head has one condition per page, so the number of its conditions bounds the pages.
-    if (pages.length > limits.txnOps * 4 - 4)
+    const maxPages = limits.txnOps * CONDITIONS_PER_OP - OTHER_CONDITIONS;
+    if (pages.length > maxPages)
       return refuse(
-        `calendar too large: ${pages.length} pages, but one transaction can switch to at most ${limits.txnOps * 4 - 4}`,
+        `calendar too large: ${pages.length} pages, but one transaction can switch to at most ${maxPages}`,
       );
+    for (const value of [head, ...pages.map((page) => page.value)])
+      if (jsonBytes(value) > limits.valueBytes)
+        return refuse(
+          `calendar too large: a value of ${jsonBytes(value)} bytes, but one may have at most ${limits.valueBytes}: shorten the cutoffs' lists of teams and classes`,
+        );
     const base = yield* incarnationCondition(store);
     if (base === null)
       return refuse('the state service has just begun or is being rebuilt: try again in a minute');
--- a/packages/controller/src/controller.ts
+++ b/packages/controller/src/controller.ts
@@ -28,6 +28,7 @@
 import { LeaderSessions } from './leadership/leader-session.js';
 import type { Settings } from './settings/settings.js';
 import { Priority } from './state-store/budget.js';
+import { jsonBytes, maxValueBytes } from './state-store/transaction-limits.js';
 import { snapshotTask } from './snapshots/snapshot-task.js';
 import type { StatePort } from './state-store/port.js';
 import type { WorkerRegistry } from './workers/worker-registry.js';
@@ -259,7 +260,10 @@
         const withoutSpotPrice = machineTypes.map((type) => ({ ...type, spotPrice: 0 }));
         const storedWithoutSpotPrice =
           (jobState.machineTypes as MachineType[] | null)?.map((type) => ({ ...type, spotPrice: 0 })) ?? null;
-        if (leaderTerm && JSON.stringify(withoutSpotPrice) !== JSON.stringify(storedWithoutSpotPrice)) {
+        // A cloud with more machine types than a value holds: a controller that starts during its outage waits for them.
+        const isStorable = jsonBytes(machineTypes) <= maxValueBytes(settings.state);
+        const isNew = JSON.stringify(withoutSpotPrice) !== JSON.stringify(storedWithoutSpotPrice);
+        if (leaderTerm && isNew && isStorable) {
           yield* Effect.ignore(
             store.transact(
               [{ key: TERM, revision: leaderTerm.revision }],
--- a/packages/controller/src/lending/image-weights.ts
+++ b/packages/controller/src/lending/image-weights.ts
@@ -4,6 +4,8 @@
  * hint costs time and has no other effect.
  */
 
+import { jsonBytes } from '../state-store/transaction-limits.js';
+
 /** Machines that hold an image, by image. */
 export type ImageWeights = ReadonlyMap<string, readonly string[]>;
 
@@ -29,7 +31,7 @@
 /** Encodes the hint in at most `bytes` of JSON; the least recently used images are left out first. */
 export const encodeImageWeights = (weights: ImageWeights, bytes: number): unknown => {
   const entries = [...weights];
-  while (entries.length > 0 && JSON.stringify(Object.fromEntries(entries)).length > bytes) entries.shift();
+  while (entries.length > 0 && jsonBytes(Object.fromEntries(entries)) > bytes) entries.shift();
   return Object.fromEntries(entries);
 };
 
--- a/packages/controller/src/recovery/calendar-recovery.ts
+++ b/packages/controller/src/recovery/calendar-recovery.ts
@@ -95,7 +95,7 @@
   if (stored.classDurations === null && remembered.classDurations.size > 0)
     steps.push({
       when: [{ key: CLASS_DURATIONS, revision: revisionOf(CLASS_DURATIONS, undefined) }],
-      then: [{ set: CLASS_DURATIONS, value: encodeClassDurations(remembered.classDurations) }],
+      then: [{ set: CLASS_DURATIONS, value: encodeClassDurations(remembered.classDurations, valueBytes) }],
     });
   return steps;
 };
--- a/packages/controller/src/scheduler/largest-jobs.ts
+++ b/packages/controller/src/scheduler/largest-jobs.ts
@@ -9,6 +9,7 @@
 import type { JobSpec } from '../jobs/model.js';
 import { hintWriter } from '../state-store/hint.js';
 import type { StatePort } from '../state-store/port.js';
+import { lastWithin, maxValueBytes } from '../state-store/transaction-limits.js';
 
 /** A job is one of the largest if it has at least this fraction of its class's greatest number of tasks. */
 const SIZE_RATIO = 0.9;
@@ -55,12 +56,12 @@
     return tasks >= Math.min(SIZE_RATIO * (top[0]?.tasks ?? 0), top[top.length - 1]?.tasks ?? 0);
   }
 
-  /** Returns the hint for the next leader: job ids and numbers of tasks, by class. */
-  hint(): Record<string, (readonly [string, number])[]> {
-    const latest = [...this.topByClass].slice(-MAX_CLASSES);
-    return Object.fromEntries(
-      latest.map(([jobClass, top]) => [jobClass, top.map((job) => [job.id, job.tasks] as const)]),
-    );
+  /** Returns the hint for the next leader in at most `maxBytes` of JSON: job ids and numbers of tasks, by class. */
+  hint(maxBytes = Number.POSITIVE_INFINITY): Record<string, (readonly [string, number])[]> {
+    const latest = [...this.topByClass]
+      .slice(-MAX_CLASSES)
+      .map(([jobClass, top]) => [jobClass, top.map((job) => [job.id, job.tasks] as const)] as const);
+    return Object.fromEntries(lastWithin(latest, maxBytes));
   }
 }
 
@@ -70,10 +71,11 @@
   readonly store: StatePort;
   readonly leaderTerm: { readonly revision: number };
   readonly largestJobs: LargestJobs;
+  readonly settings: { readonly state: { readonly valueBytes: number } };
 }) => {
   const write = hintWriter(context.store, { key: TERM, revision: context.leaderTerm.revision }, LARGEST_JOBS);
   const writeHint = Effect.suspend(() =>
-    context.mayAct() ? write(context.largestJobs.hint()) : Effect.void,
+    context.mayAct() ? write(context.largestJobs.hint(maxValueBytes(context.settings.state))) : Effect.void,
   );
   return supervise(
     'largest',
--- a/packages/controller/src/snapshots/restore.ts
+++ b/packages/controller/src/snapshots/restore.ts
@@ -10,6 +10,7 @@
 import { Priority } from '../state-store/budget.js';
 import type { StateFailure, Write } from '../state-store/client.js';
 import type { StatePort } from '../state-store/port.js';
+import { jsonBytes, maxValueBytes, writeBytes } from '../state-store/transaction-limits.js';
 
 /** Key that exists while a restore is in progress; its value identifies the snapshot and the last key restored. */
 export const RESTORE_PROGRESS = 's/l/restore';
@@ -102,6 +103,7 @@
             revision = outcome.right.revision;
             return true;
           }
+          if (outcome._tag === 'Left' && outcome.left._tag === 'Rejected') return yield* outcome.left;
           // The transaction may have been applied and its response lost; the stored progress then equals the new one.
           const current = (yield* store.get(RESTORE_PROGRESS)).entry;
           const applied = JSON.stringify(current?.value ?? null) === JSON.stringify(next);
@@ -118,13 +120,14 @@
       const batch: Write[] = [];
       let bytes = 0;
       for (const entry of remaining) {
-        const size = JSON.stringify(entry.value).length + entry.key.length + 40;
+        const valueBytes = jsonBytes(entry.value);
+        const size = writeBytes(entry.key, valueBytes);
         if (batch.length > 0 && (batch.length >= limits.txnOps - 1 || bytes + size > TRANSACTION_BYTES))
           break;
-        if (size > limits.valueBytes)
+        if (valueBytes > maxValueBytes(limits))
           return {
             ok: false,
-            reason: `${entry.key}: ${size} bytes exceed the store's limit of ${limits.valueBytes} per value`,
+            reason: `${entry.key}: ${valueBytes} bytes exceed the store's limit of ${limits.valueBytes} per value`,
           } as const;
         batch.push({ set: entry.key, value: entry.value });
         bytes += size;
--- a/packages/controller/test/draft.test.ts
+++ b/packages/controller/test/draft.test.ts
@@ -10,6 +10,7 @@
 import type { Start } from '../src/scheduler/model.js';
 import type { CycleContext } from '../src/scheduler/cycle-context.js';
 import type { Condition, Write } from '../src/state-store/client.js';
+import { jsonBytes } from '../src/state-store/transaction-limits.js';
 import { faultFreeController, newJob, storedJob, SETTINGS } from './support/late-store.js';
 import { RandomSource } from './support/random-source.js';
 
@@ -86,13 +87,14 @@
 };
 
 const checkLimits = ({ when, then }: SentTransaction, { valueBytes, txnOps }: StateLimits): void => {
-  const valueSizes = then.map((write) => JSON.stringify('set' in write ? write.value : '').length);
+  const valueSizes = then.map((write) => jsonBytes('set' in write ? write.value : ''));
   for (const size of valueSizes)
     assert.ok(size <= valueBytes, `a value of ${size} bytes exceeds the limit of ${valueBytes}`);
   const body = JSON.stringify({ when: when.map(({ key, revision }) => ({ k: key, stamp: revision })), then });
+  const bodyBytes = Buffer.byteLength(body);
   assert.ok(
-    body.length <= TRANSACTION_BYTES,
-    `a transaction of ${body.length} bytes exceeds the limit of ${TRANSACTION_BYTES}`,
+    bodyBytes <= TRANSACTION_BYTES,
+    `a transaction of ${bodyBytes} bytes exceeds the limit of ${TRANSACTION_BYTES}`,
   );
   assert.ok(when.length < txnOps * 4, `a transaction has ${when.length} conditions`);
   assert.ok(then.length <= txnOps);
@@ -245,6 +247,35 @@
   assert.equal(leader.node.jobState.jobs.get('job-1')!.completed.size, 4500);
 });
 
+// After an outage of the state service, exits of a class with an Arabic name made a log entry that was too large in bytes,
+// though not in characters: it was rejected and sent again for ever, and nothing was recorded or started any more.
+test('the exits of many jobs whose class has a name outside ASCII are recorded within the limits in bytes', () => {
+  const jobs = Array.from({ length: 300 }, (_, i) => {
+    const base = newJob(`job-${i + 1}`);
+    const spec = {
+      ...base.spec,
+      jobClass: 'تفريغ محاضر جلسات المجلس البلدي للقاهرة الكبرى',
+      cpus: 1 + i / 1000,
+      tasks: 1,
+    };
+    const job = { ...base, spec, attempt: 1 };
+    job.placed.set(0, { task: 0, attempt: 1, machine: `vm-${i}`, since: 5 as Micros });
+    return job;
+  });
+  const { state } = SETTINGS;
+  const leader = leadingController(jobs, state);
+  for (const { spec } of jobs)
+    leader.context.registry.exits.set(spec.id, {
+      completed: new Set([0]),
+      exited: new Set(),
+      failed: new Set(),
+    });
+  for (let i = 0; i < 6; i++) leader.commitStarts([]);
+  for (const sent of leader.sent) checkLimits(sent, state);
+  assert.ok(leader.sent.length > 1);
+  for (const job of leader.node.jobState.jobs.values()) assert.equal(job.completed.size, 1, job.spec.id);
+});
+
 test('the next cycle after one with a backlog comes without the gap for many machines, but after the gap for its computing time', () => {
   assert.equal(cycleGapMs(2634, 20), 800);
   assert.equal(cycleGapMs(2634, 20, true), 250);
--- a/packages/controller/test/transaction-limits.test.ts
+++ b/packages/controller/test/transaction-limits.test.ts
@@ -2,19 +2,28 @@
 import assert from 'node:assert/strict';
 import { test } from 'node:test';
 import { micros } from '@lilacvalve/runtime/micros';
+import { encodeAccounts } from '../src/accounts/codec.js';
+import { applyToAccounts } from '../src/accounts/aggregate.js';
+import { NO_ACCOUNTS } from '../src/accounts/model.js';
+import { addSamples, encodeClassDurations } from '../src/calendar/class-durations.js';
 import { encodeBundle } from '../src/jobs/codec.js';
 import { activeJobKey, JOB_BUNDLES } from '../src/jobs/keys.js';
 import { acceptedJob, applyChange } from '../src/jobs/model.js';
 import { planRebuild } from '../src/recovery/rebuild-plan.js';
 import { writeSteps } from '../src/recovery/write-steps.js';
 import { commit } from '../src/scheduler/commit.js';
+import { draftCompaction } from '../src/scheduler/compaction.js';
+import { LargestJobs } from '../src/scheduler/largest-jobs.js';
 import { runMaintenance } from '../src/scheduler/maintenance.js';
 import { wireTransaction, type Write } from '../src/state-store/client.js';
+import { jsonBytes } from '../src/state-store/transaction-limits.js';
 import { job } from './support/job.js';
 import { faultFreeController, newJob, SETTINGS, storedJob } from './support/late-store.js';
 import { LONG_CLASS, machineName, startedOneByOne, startOf } from './support/started-jobs.js';
 import { transactionViolation } from './support/transaction-rules.js';
 
+const { valueBytes } = SETTINGS.state;
+
 // A log entry that was too large in bytes was sent again as it was, for ever, and ended all scheduling.
 test('a transaction that the state service rejects is not sent again as it is', () => {
   const jobs = Array.from({ length: 60 }, (_, i) => newJob(`job-${i + 1}`, { spec: { ...job(`job-${i + 1}`).spec, tasks: 400 } })); // prettier-ignore
@@ -78,3 +87,27 @@
   assert.equal(keys.filter((key) => key === activeJobKey('job-1')).length, 1);
   assert.ok(keys.filter((key) => key.startsWith(JOB_BUNDLES)).length > 1);
 });
+
+test('checkpoints, compactions and hints with names outside ASCII fit in bytes', () => {
+  const rows = Array.from({ length: 300 }, (_, i) => ({
+    group: ['red', `${LONG_CLASS}${i}`, 'c8'] as const,
+    shape: [1000, i, 2000] as const,
+    rate: 7,
+    us: [1e9, 0, 0, 0, 0, 0, 1e9],
+  }));
+  const accounts = applyToAccounts(NO_ACCOUNTS, 1, micros(1e12), { rows, closes: null, bound: null });
+  const values = encodeAccounts(accounts, valueBytes * 0.9);
+  for (const value of values) assert.ok(jsonBytes(value) <= valueBytes);
+  const { turn } = faultFreeController([storedJob(newJob('job-1')), ...startedOneByOne('job-1', 3, 3)]);
+  const { when, then } = draftCompaction(turn);
+  assert.equal(transactionViolation(wireTransaction(when, then), SETTINGS.state), null);
+
+  const classes = rows.map(({ group }) => group[1]);
+  const largest = new LargestJobs();
+  for (const jobClass of classes) largest.observe({ id: `job-${'1'.repeat(32)}`, jobClass, tasks: 100_000 });
+  assert.ok(jsonBytes(largest.hint(valueBytes)) <= valueBytes);
+  const durations = addSamples(new Map(), new Map(classes.map((jobClass) => [jobClass, [1, 2, 3]])));
+  const encoded = encodeClassDurations(durations, valueBytes) as unknown[];
+  assert.ok(jsonBytes(encoded) <= valueBytes && encoded.length > 10);
+  assert.equal((encoded.at(-1) as [string])[0], classes.at(-1));
+});
