Lines and heartbeats of workers stay within 64 KiB; so do the reasons that users get

- A response and a direct order hold as many orders as fit; the others are derived again for the next response, as a lost one is.
- The reason why a submission is malformed quotes the field's value, escaped once more: it is cut at 300 characters.

--- a/packages/controller/src/jobs/codec.ts
+++ b/packages/controller/src/jobs/codec.ts
@@ -69,13 +69,17 @@
 
 const SHAPES: Record<string, Shape> = { array: 'array', ensemble: 'gang', daemon: 'service' };
 
+/** Maximum length of the reason why a field is malformed: the reason quotes the field's value, which may be long. */
+const MAX_REASON_LENGTH = 300;
+
 /** Decodes the body of a submission received at `submitted`; fails with the reason why the body is malformed. */
 export const readSubmission = (body: unknown, submitted: Micros): Either.Either<JobSpec, string> =>
   decodeSubmission(body).pipe(
     Either.mapBoth({
       onLeft: (parseError) => {
         const issue = ParseResult.ArrayFormatter.formatErrorSync(parseError)[0];
-        return `${issue?.path.map(String).join('.') || 'body'}: ${issue?.message ?? 'invalid'}`;
+        const reason = (issue?.message ?? 'invalid').slice(0, MAX_REASON_LENGTH);
+        return `${issue?.path.map(String).join('.') || 'body'}: ${reason}`;
       },
       onRight: (submission) => ({
         id: submission.id,
--- a/packages/controller/src/scheduler/cluster-capacity.ts
+++ b/packages/controller/src/scheduler/cluster-capacity.ts
@@ -21,6 +21,8 @@
   readonly terminating: Resources;
   /** Resources held by evicted tasks, by urgency: an upper bound on what preemption could free. */
   readonly evictedResources: Resources[];
+  /** Number of further tasks that the machine's heartbeats can list. */
+  taskSlots: number;
   /** Whether the machine is in excess of the demand, see idle-machines.ts. */
   readonly idle: boolean;
   /** Reservation for a starving gang, see reserve.ts. */
@@ -38,12 +40,16 @@
  * Whether the machine is reserved for another gang and not available to `job`. Jobs that are more urgent than the gang, or
  * that will have finished before the gang can begin, may use a reserved machine.
  */
-export const isReservedAgainst = (machine: MachineState, { spec }: Job): boolean =>
+const isReservedAgainst = (machine: MachineState, { spec }: Job): boolean =>
   machine.reservation !== null &&
   machine.reservation.job.spec !== spec &&
   spec.urgency <= machine.reservation.job.spec.urgency &&
   (spec.estimate === 0 || spec.estimate * ESTIMATE_ERROR > machine.reservation.until / ESTIMATE_ERROR);
 
+/** Whether the machine takes no further task of `job`, whatever resources it has. */
+export const isUnavailable = (machine: MachineState, job: Job): boolean =>
+  machine.taskSlots <= 0 || isReservedAgainst(machine, job);
+
 /** An evicted gang, or one evicted task of an array or service: the unit of preemption. */
 export class EvictedUnit {
   /** Whether this cycle has preempted the unit. */
--- a/packages/controller/src/scheduler/cycle-input.ts
+++ b/packages/controller/src/scheduler/cycle-input.ts
@@ -4,6 +4,7 @@
 import { cutoffRank } from '../calendar/slack.js';
 import { isComplete, type Job, taskKey } from '../jobs/model.js';
 import { mayBorrow } from '../lending/loans.js';
+import { MAX_TASKS_PER_MACHINE } from '../workers/message-limits.js';
 import { hasExited, type TaskExits } from '../workers/observed-exits.js';
 import type { WorkerRegistry } from '../workers/worker-registry.js';
 import {
@@ -113,6 +114,7 @@
       total: [type.cpus, type.gpus, type.memGb],
       images: machine.images,
       ...(fetching.has(machine.id) ? { fetchingWeights: true } : {}),
+      taskSlots: MAX_TASKS_PER_MACHINE - (context.jobState.placementsByMachine.get(machine.id)?.size ?? 0),
       open: context.registry.isSchedulable(machine, now),
     });
   }
--- a/packages/controller/src/scheduler/cycle.ts
+++ b/packages/controller/src/scheduler/cycle.ts
@@ -37,7 +37,7 @@
   type ClusterCapacity,
   FREE_ONLY,
   protectedDemand,
-  isReservedAgainst,
+  isUnavailable,
   WITHOUT_PREEMPTION,
   type MachineState,
   strandsGpus,
@@ -346,7 +346,7 @@
    * next one does not either.
    */
   private sameMachineAsLast(item: QueuedItem, job: Job): PlacementChoice | null {
-    if (item.lastPlacement === null || job.spec.spread || isReservedAgainst(item.lastPlacement.machine, job))
+    if (item.lastPlacement === null || job.spec.spread || isUnavailable(item.lastPlacement.machine, job))
       return null;
     if (this.input.lending !== undefined && mayBorrow(job.spec)) return null;
     const { machine, free } = item.lastPlacement;
@@ -398,6 +398,7 @@
     tasks.forEach((task, i) => {
       const machine = choice.machines[i]!;
       add(machine.free, need, -1);
+      machine.taskSlots--;
       this.changedMachines.push(machine);
       add(team.used, need);
       add(team.held, need);
--- a/packages/controller/src/scheduler/eviction.ts
+++ b/packages/controller/src/scheduler/eviction.ts
@@ -83,6 +83,7 @@
     [0, 0, 0],
     [0, 0, 0],
   ],
+  taskSlots: view.taskSlots ?? Number.POSITIVE_INFINITY,
   idle,
   reservation: null,
 });
--- a/packages/controller/src/scheduler/model.ts
+++ b/packages/controller/src/scheduler/model.ts
@@ -46,6 +46,8 @@
   readonly images: ReadonlySet<string>;
   /** Whether the machine fetches the weights of a service: fetching another image would share its download rate. */
   readonly fetchingWeights?: boolean;
+  /** Number of further tasks that the machine's heartbeats can list; without it there is no limit. */
+  readonly taskSlots?: number;
   /** Whether the machine may be given new tasks. The tasks of a machine that may not still count as running. */
   readonly open: boolean;
 }
--- a/packages/controller/src/scheduler/placement-search.ts
+++ b/packages/controller/src/scheduler/placement-search.ts
@@ -17,7 +17,7 @@
   type PlacementSearch,
   type ClusterCapacity,
   protectedDemand,
-  isReservedAgainst,
+  isUnavailable,
   type SearchLevel,
   mayPreempt,
   type MachineState,
@@ -72,6 +72,8 @@
 class GroupPlacement {
   /** Resources of the group's tasks placed so far, by machine. */
   private readonly used = new Map<MachineState, Resources>();
+  /** Number of the group's tasks placed so far, by machine. */
+  private readonly tasksOn = new Map<MachineState, number>();
   private readonly victims = new Set<EvictedUnit>();
   private readonly overdue: boolean;
   private readonly protectedDemands: readonly CoLocatedDemand[];
@@ -90,7 +92,8 @@
   scoreMachine(machine: MachineState): PlacementOption | null {
     const { capacity, level, victims } = this;
     const { job, need } = this.request;
-    if (isReservedAgainst(machine, job) || !this.mayFit(machine)) return null;
+    if (isUnavailable(machine, job) || !this.mayFit(machine)) return null;
+    if ((this.tasksOn.get(machine) ?? 0) >= machine.taskSlots) return null;
     const used = this.used.get(machine) ?? NO_RESOURCES;
     const available: Resources = [
       machine.free[0] - used[0],
@@ -149,6 +152,7 @@
       const used = this.used.get(best.machine);
       if (used) add(used, need);
       else this.used.set(best.machine, [...need]);
+      this.tasksOn.set(best.machine, (this.tasksOn.get(best.machine) ?? 0) + 1);
       tasksByZone.set(best.machine.view.zone, (tasksByZone.get(best.machine.view.zone) ?? 0) + 1);
       this.rescoreChanged(best, current, indexOf);
     }
--- a/packages/controller/src/scheduler/replica-search.ts
+++ b/packages/controller/src/scheduler/replica-search.ts
@@ -26,7 +26,7 @@
   type EvictedUnit,
   type PlacementSearch,
   type ClusterCapacity,
-  isReservedAgainst,
+  isUnavailable,
   type SearchLevel,
   type MachineState,
   placementScore,
@@ -115,7 +115,7 @@
         (machineView.spot && !spot)
       )
         continue;
-      if (avoided?.has(machineView.id) || isReservedAgainst(machine, job)) continue;
+      if (avoided?.has(machineView.id) || isUnavailable(machine, job)) continue;
       const option = this.optionOn(request, machine);
       if (option !== null && (best === null || option.cost < best.cost)) best = option;
     }
--- a/packages/controller/src/workers/heartbeat-handler.ts
+++ b/packages/controller/src/workers/heartbeat-handler.ts
@@ -17,6 +17,7 @@
 } from './codec.js';
 import { responseAt } from './heartbeat-relay.js';
 import type { Machine } from './machine.js';
+import { fittingOrders } from './message-limits.js';
 import type { WorkerRegistry } from './worker-registry.js';
 
 /** What a leader's session provides to the heartbeat handler. */
@@ -50,7 +51,7 @@
       (task) => task.status !== 'exited' && service.isCancelled(task.key.slice(0, task.key.indexOf('/'))),
     )
     .map((task): Order => ({ op: 'stop', key: task.key, attempt: task.attempt, grace: NO_GRACE }));
-  return orders.length === 0 ? '' : encodeOrders(service.term, orders);
+  return orders.length === 0 ? '' : encodeOrders(service.term, fittingOrders(orders));
 };
 
 const renewalResponses = (
--- a/packages/controller/src/workers/order-queue.ts
+++ b/packages/controller/src/workers/order-queue.ts
@@ -9,6 +9,7 @@
 import { recordAnomaly } from '../metrics.js';
 import type { Order } from './codec.js';
 import type { Machine, Machines } from './machine.js';
+import { fittingOrders, MAX_TASKS_PER_MACHINE } from './message-limits.js';
 import type { ObservedExits } from './observed-exits.js';
 import type { OrphanedTasks } from './orphaned-tasks.js';
 
@@ -75,15 +76,22 @@
   }
 
   /**
-   * Orders for the response to the machine's latest heartbeat. Without `includeStarts`, starts wait for a later
-   * response.
+   * Orders for the response to the machine's latest heartbeat, as many as one line holds. Without `includeStarts`, starts
+   * wait for a later response.
    */
-  ordersFor(machine: Machine, includeStarts: boolean): Order[] {
+  ordersFor(machine: Machine, includeStarts: boolean): readonly Order[] {
     const placed = this.jobState.placementsByMachine.get(machine.id);
     const orders: Order[] = [];
     this.addStops(machine, placed, orders);
-    if (includeStarts && machine.authoritative) this.addStarts(machine, placed, orders);
-    return orders;
+    const stops = fittingOrders(orders);
+    if (stops.length < orders.length || !includeStarts || !machine.authoritative) return stops;
+    const forgotten = orders.filter((order) => order.op === 'forget').length;
+    const starts = this.startsFor(machine, placed, MAX_TASKS_PER_MACHINE - (machine.tasks.size - forgotten));
+    if (starts.length === 0) return stops;
+    const fitting = fittingOrders([...orders, ...starts]);
+    if (fitting.length > orders.length)
+      machine.dispatched = fitting.slice(orders.length).map((order) => order.key);
+    return fitting;
   }
 
   private addStops(
@@ -119,13 +127,15 @@
     }
   }
 
-  private addStarts(
+  /** Returns the starts of tasks that the worker does not hold, at most `maxStarts`. */
+  private startsFor(
     machine: Machine,
     placed: ReadonlyMap<string, PlacedTask> | undefined,
-    orders: Order[],
-  ): void {
-    const dispatched: string[] = [];
+    maxStarts: number,
+  ): Order[] {
+    const starts: Order[] = [];
     for (const [key, placement] of placed ?? []) {
+      if (starts.length >= maxStarts) break;
       if (
         machine.tasks.has(key) ||
         machine.seenAttempts.get(key) === placement.attempt ||
@@ -133,10 +143,9 @@
       )
         continue;
       if (!this.isWanted(placement, machine)) continue;
-      orders.push({ op: 'start', key, attempt: placement.attempt });
-      dispatched.push(key);
+      starts.push({ op: 'start', key, attempt: placement.attempt });
     }
-    if (dispatched.length > 0) machine.dispatched = dispatched;
+    return starts;
   }
 
   /**
--- a/packages/controller/src/workers/worker-client.ts
+++ b/packages/controller/src/workers/worker-client.ts
@@ -6,6 +6,7 @@
 import type { Admission } from '../overload/admission.js';
 import type { Settings } from '../settings/settings.js';
 import { encodeOrders, type Order } from './codec.js';
+import { fittingOrders } from './message-limits.js';
 import type { WorkerRegistry } from './worker-registry.js';
 
 /** Connection from a controller to the workers. */
@@ -77,7 +78,7 @@
         // An order refused by admission control still goes out with the response to the worker's next heartbeat.
         if (admission.enter('order') !== null) return Effect.void;
         countMetric('orders');
-        const send = port.sendOrders(addr, encodeOrders(registry.term, orders, incarnation));
+        const send = port.sendOrders(addr, encodeOrders(registry.term, fittingOrders(orders), incarnation));
         return Effect.forkDaemon(
           Effect.ensuring(
             send,
--- a/packages/controller/src/workers/worker-registry.ts
+++ b/packages/controller/src/workers/worker-registry.ts
@@ -451,7 +451,7 @@
   /**
    * Orders for the response to the machine's latest heartbeat. Without `includeStarts`, starts wait for a later response.
    */
-  ordersFor(machine: Machine, includeStarts = true): Order[] {
+  ordersFor(machine: Machine, includeStarts = true): readonly Order[] {
     return this.orders.ordersFor(machine, includeStarts);
   }
 
--- a/packages/controller/test/scheduler.test.ts
+++ b/packages/controller/test/scheduler.test.ts
@@ -72,7 +72,13 @@
 const arbitraryState = fc.record({
   jobs: fc.tuple(...Array.from({ length: 14 }, (_, i) => arbitraryJob(i))),
   machines: fc.array(
-    fc.record({ zone: fc.constantFrom('a', 'b'), gpu: fc.boolean(), spot: fc.boolean(), open: fc.boolean() }),
+    fc.record({
+      zone: fc.constantFrom('a', 'b'),
+      gpu: fc.boolean(),
+      spot: fc.boolean(),
+      open: fc.boolean(),
+      taskSlots: fc.constantFrom(undefined, undefined, undefined, undefined, 0, 1, 3),
+    }),
     { minLength: 1, maxLength: 6 },
   ),
   runs: fc.integer({ min: 0, max: 10 }),
@@ -131,7 +137,10 @@
     }));
   return cycleInput({
     teams,
-    machines: machines.map((machine, i) => ({ ...machine, open: state.machines[i]!.open })),
+    machines: machines.map((machine, i) => {
+      const { open, taskSlots } = state.machines[i]!;
+      return { ...machine, open, taskSlots };
+    }),
     placedTasks,
     queued: waiting,
   });
@@ -202,7 +211,11 @@
         }),
       );
       const machines = Array.from({ length: state.machines }, (_, i) =>
-        machineOf(`vm-${i}`, { zone: i % 2 === 0 ? 'a' : 'b', open: i % 5 !== 4 }),
+        machineOf(`vm-${i}`, {
+          zone: i % 2 === 0 ? 'a' : 'b',
+          open: i % 5 !== 4,
+          ...(i % 7 === 6 ? { taskSlots: i % 3 } : {}),
+        }),
       );
       const placedTasks: PlacedTask[] = state.placed.flatMap((placement): PlacedTask[] => {
         const owner = jobs[placement.job]!;
@@ -804,3 +817,16 @@
     'the waiting time begins anew with a start',
   );
 });
+
+test('tasks of any size are placed on a machine only while its heartbeats can list them', () => {
+  const views = ['vm-1', 'vm-2', 'vm-3'].map((id) => machineOf(id, { taskSlots: 40 }));
+  const sizes = [0, 0.001, 0.02].map((cpus, i) => job(`job-${i + 1}`, { tasks: 50, cpus, memGb: 0 }));
+  const { starts } = schedule(
+    cycleInput({ machines: views, queued: sizes.map((sized) => queuedJob(sized)) }),
+  );
+  const counts = new Map<string, number>();
+  for (const { tasksByMachine } of starts)
+    for (const [machine, tasks] of tasksByMachine)
+      counts.set(machine, (counts.get(machine) ?? 0) + tasks.length);
+  assert.deepEqual([...counts.values()], [40, 40, 40]);
+});
--- a/packages/controller/test/support/plain-cycle.ts
+++ b/packages/controller/test/support/plain-cycle.ts
@@ -27,7 +27,7 @@
   type PlacementSearch,
   type ClusterCapacity,
   protectedDemand,
-  isReservedAgainst,
+  isUnavailable,
   strandsGpus,
   type MachineState,
   type TeamState,
@@ -81,6 +81,7 @@
         [0, 0, 0],
         [0, 0, 0],
       ],
+      taskSlots: view.taskSlots ?? Number.POSITIVE_INFINITY,
       idle: input.idleMachines.has(view.id),
       reservation: null,
     });
@@ -280,6 +281,7 @@
     tasks.forEach((task, i) => {
       const machine = choice.machines[i]!;
       add(machine.free, need, -1);
+      machine.taskSlots--;
       add(team.used, need);
       add(team.held, need);
       zones.set(machine.view.zone, (zones.get(machine.view.zone) ?? 0) + 1);
@@ -338,7 +340,7 @@
    * resources of any machine, the next one does not either.
    */
   const sameMachineAsLast = (item: QueuedItem, job: Job): PlacementChoice | null => {
-    if (item.lastPlacement === null || job.spec.spread || isReservedAgainst(item.lastPlacement.machine, job))
+    if (item.lastPlacement === null || job.spec.spread || isUnavailable(item.lastPlacement.machine, job))
       return null;
     if (input.lending !== undefined && mayBorrow(job.spec)) return null;
     const { machine, free } = item.lastPlacement;
--- a/packages/controller/test/support/plain-placement-search.ts
+++ b/packages/controller/test/support/plain-placement-search.ts
@@ -11,7 +11,7 @@
   type PlacementSearch,
   type ClusterCapacity,
   protectedDemand,
-  isReservedAgainst,
+  isUnavailable,
   mayPreempt,
   type MachineState,
   preemptibleBelow,
@@ -74,7 +74,8 @@
       null;
     for (const machine of capacity.machines.values()) {
       const machineView = machine.view;
-      if (!mayUse(capacity, job, zones, machine) || isReservedAgainst(machine, job)) continue;
+      if (!mayUse(capacity, job, zones, machine) || isUnavailable(machine, job)) continue;
+      if (chosen.filter((other) => other === machine).length >= machine.taskSlots) continue;
       const tasksInZone =
         (capacity.zonesHeld.get(job)?.get(machineView.zone) ?? 0) +
         chosen.filter((other) => other.view.zone === machineView.zone).length;
