--- a/packages/controller/src/api/responses.ts
+++ b/packages/controller/src/api/responses.ts
@@ -2,7 +2,7 @@
 import { type HttpResponse, json, retryLater } from '@lilacvalve/runtime/http-server';
 import { debug } from '@lilacvalve/runtime/log';
 import { Effect } from 'effect';
-import { STATUS_WORDS } from '../jobs/codec.js';
+import { STATUS_WORDS } from '../jobs/submission-codec.js';
 import { type FinalState, isComplete, type Job } from '../jobs/model.js';
 import type { StateFailure } from '../state-store/client.js';
 import type { JobLookupResult } from './job-lookup.js';
--- a/packages/controller/src/api/router.ts
+++ b/packages/controller/src/api/router.ts
@@ -3,7 +3,7 @@
  */
 import { type HttpResponse, type HttpRequest, json, retryLater } from '@lilacvalve/runtime/http-server';
 import { Effect } from 'effect';
-import { JOB_ID } from '../jobs/codec.js';
+import { JOB_ID } from '../jobs/submission-codec.js';
 import { countMetric } from '../metrics.js';
 import type { WorkClass } from '../overload/model.js';
 import { HEARTBEAT_PATH } from '../workers/codec.js';
--- a/packages/controller/src/api/submission.ts
+++ b/packages/controller/src/api/submission.ts
@@ -6,7 +6,8 @@
 import type { Micros } from '@lilacvalve/runtime/micros';
 import { Effect, Either, Random } from 'effect';
 import { bindToOccurrence } from '../calendar/cutoff-binding.js';
-import { encodeJob, JOB_ID, readSubmission } from '../jobs/codec.js';
+import { encodeJob } from '../jobs/codec.js';
+import { JOB_ID, readSubmission } from '../jobs/submission-codec.js';
 import { activeJobKey, finalStateKey } from '../jobs/keys.js';
 import { acceptedJob, type JobSpec } from '../jobs/model.js';
 import { maxValueBytes } from '../state-store/transaction-limits.js';
--- a/packages/controller/test/message-limits.test.ts
+++ b/packages/controller/test/message-limits.test.ts
@@ -4,7 +4,7 @@
 import { test } from 'node:test';
 import type { Micros } from '@lilacvalve/runtime/micros';
 import { Either } from 'effect';
-import { readSubmission } from '../src/jobs/codec.js';
+import { readSubmission } from '../src/jobs/submission-codec.js';
 import { JobState } from '../src/jobs/job-state.js';
 import type { Job } from '../src/jobs/model.js';
 import { encodeOrders, type Heartbeat, type ReportedTask } from '../src/workers/codec.js';
--- a/packages/controller/test/support/job.ts
+++ b/packages/controller/test/support/job.ts
@@ -1,11 +1,11 @@
 /** Test support: a job as the store has it, with no task started. */
 import type { Micros } from '@lilacvalve/runtime/micros';
-import type { Job, JobSpec } from '../../src/jobs/model.js';
+import { acceptedJob, type Job, type JobSpec } from '../../src/jobs/model.js';
 
 const ZERO = 0 as Micros;
-/** A job of one task; `overrides` replaces fields of its specification. */
+/** A job of one task with a key of its own; `overrides` replaces fields of its specification. */
 export const job = (id: string, overrides: Partial<JobSpec> = {}): Job => ({
-  spec: {
+  ...acceptedJob({
     id,
     jobClass: 'x',
     team: 'red',
@@ -29,15 +29,6 @@
     submitted: ZERO,
     cutoffBinding: null,
     ...overrides,
-  },
-  cancelled: false,
-  attempt: 0,
-  completed: new Set(),
-  placed: new Map(),
-  failedOn: new Set(),
-  loans: new Map(),
-  preemptedForServices: 0,
+  }),
   revision: 1,
-  compactedTo: 0,
-  lastSequence: 0,
 });
