--- a/packages/controller/src/api/cancellation.ts
+++ b/packages/controller/src/api/cancellation.ts
@@ -92,9 +92,11 @@
     const maxBytes = maxValueBytes(this.context.settings.state);
     const value = encodeJobWithin({ ...job, cancelled: true }, job.lastSequence, maxBytes);
     if (value !== null) return Effect.succeed(value);
-    return Effect.flatMap(this.context.store.get(activeJobKey(job.spec.id)), ({ entry }) =>
-      entry === null
-        ? Effect.fail(new Rejected({ reason: 'the job is too large and has no key of its own' }))
+    const { id } = job.spec;
+    return Effect.flatMap(this.context.store.get(activeJobKey(id)), ({ entry }) =>
+      // A bundle may hold a newer state of the job than its own key.
+      entry === null || this.context.jobState.bundleByJob.has(id)
+        ? Effect.fail(new Rejected({ reason: 'the job is too large and is listed in a bundle' }))
         : Effect.succeed(cancelStoredJob(entry.value, maxBytes)),
     );
   }
