Sizes are computed once: a stored job comes with its bytes, exits are measured again only where they may not fit

For processor time: a compaction encoded each job's value twice for its size, a draft each job's exits twice, and a submission the job three times.

--- a/packages/controller/src/api/admissibility.ts
+++ b/packages/controller/src/api/admissibility.ts
@@ -65,8 +65,13 @@
   );
 };
 
-/** Whether the state service can hold the job and the tasks that must run at the same time in a value of `maxBytes`. */
-export const isStorable = (spec: JobSpec, types: readonly MachineType[], maxBytes: number): boolean => {
+/** Whether the state service can hold the job and `tasks` of its tasks at the same time in a value of `maxBytes`. */
+export const isStorable = (
+  spec: JobSpec,
+  tasks: number,
+  types: readonly MachineType[],
+  maxBytes: number,
+): boolean => {
   const perMachine = types.filter((type) => fitsType(spec, type)).map((type) => tasksPerMachine(spec, type));
-  return canBeStored(spec, Math.max(1, ...perMachine), maxBytes);
+  return canBeStored(spec, tasks, Math.max(1, ...perMachine), maxBytes);
 };
--- a/packages/controller/src/api/cancellation.ts
+++ b/packages/controller/src/api/cancellation.ts
@@ -90,8 +90,8 @@
    */
   private cancelledValue(job: Job): Effect.Effect<unknown, StateFailure> {
     const maxBytes = maxValueBytes(this.context.settings.state);
-    const value = encodeJobWithin({ ...job, cancelled: true }, job.lastSequence, maxBytes);
-    if (value !== null) return Effect.succeed(value);
+    const encoded = encodeJobWithin({ ...job, cancelled: true }, job.lastSequence, maxBytes);
+    if (encoded !== null) return Effect.succeed(encoded.value);
     const { id } = job.spec;
     return Effect.flatMap(this.context.store.get(activeJobKey(id)), ({ entry }) =>
       // A bundle may hold a newer state of the job than its own key.
--- a/packages/controller/src/api/submission.ts
+++ b/packages/controller/src/api/submission.ts
@@ -103,9 +103,9 @@
     if (types === null) return Either.right(spec);
     const maxBytes = maxValueBytes(settings.state);
     // All other fields are short, or name an existing team or zone.
-    if (!isStorable({ ...spec, shape: 'array' }, types, maxBytes))
+    if (!isStorable(spec, 1, types, maxBytes))
       return Either.left(json(400, { error: 'hostsKinds: too long' }));
-    return isStorable(spec, types, maxBytes)
+    return spec.shape !== 'gang' || isStorable(spec, spec.tasks, types, maxBytes)
       ? Either.right(spec)
       : Either.left(json(422, { error: 'a gang of so many tasks exceeds what the state service can hold' }));
   }
--- a/packages/controller/src/jobs/codec.ts
+++ b/packages/controller/src/jobs/codec.ts
@@ -149,15 +149,26 @@
   };
 };
 
+/** A value with its size as JSON. */
+export interface SizedValue<A> {
+  readonly value: A;
+  readonly bytes: number;
+}
+const sized = <A>(value: A): SizedValue<A> => ({ value, bytes: jsonBytes(value) });
+
 /**
  * The stored form of a job in at most `maxBytes` of JSON. The start times of the placed tasks are left out if they do not
  * fit: only the accounts need them, and count such tasks as started at an unknown time. null: the job does not fit even so.
  */
-export const encodeJobWithin = (job: Job, compactedTo: number, maxBytes: number): StoredJob | null => {
-  const complete = encodeJob(job, compactedTo);
-  if (jsonBytes(complete) <= maxBytes) return complete;
-  const withoutStartTimes = encodeJob(job, compactedTo, false);
-  return jsonBytes(withoutStartTimes) <= maxBytes ? withoutStartTimes : null;
+export const encodeJobWithin = (
+  job: Job,
+  compactedTo: number,
+  maxBytes: number,
+): SizedValue<StoredJob> | null => {
+  const complete = sized(encodeJob(job, compactedTo));
+  if (complete.bytes <= maxBytes) return complete;
+  const withoutStartTimes = sized(encodeJob(job, compactedTo, false));
+  return withoutStartTimes.bytes <= maxBytes ? withoutStartTimes : null;
 };
 
 /**
--- a/packages/controller/src/jobs/stored-size.ts
+++ b/packages/controller/src/jobs/stored-size.ts
@@ -143,12 +143,13 @@
   return Math.max(0, Math.min(wanted, Math.floor((maxBytes - maxStoredBytes(job)) / perTask)));
 };
 
-/**
- * Whether the stored value of a new job can hold its tasks: one of them, or all of a gang, whose machines each hold
- * `tasksPerMachine` of them at most.
- */
-export const canBeStored = (spec: JobSpec, tasksPerMachine: number, maxBytes: number): boolean => {
-  const tasks = spec.shape === 'gang' ? spec.tasks : 1;
+/** Whether the stored value of a new job can hold `tasks` of its tasks, at most `tasksPerMachine` of them on each machine. */
+export const canBeStored = (
+  spec: JobSpec,
+  tasks: number,
+  tasksPerMachine: number,
+  maxBytes: number,
+): boolean => {
   const machines = Math.ceil(tasks / Math.max(1, tasksPerMachine));
   const perMachine = ESTIMATED_MACHINE_BYTES + MACHINE_OVERHEAD_BYTES + groupBytes(Number.MAX_SAFE_INTEGER);
   return fixedBytes(spec) + (machines + FAILURES_KEPT) * perMachine + tasks * taskBytes(spec) <= maxBytes;
--- a/packages/controller/src/recovery/write-steps.ts
+++ b/packages/controller/src/recovery/write-steps.ts
@@ -91,7 +91,7 @@
 /** Writes a job to its own key. The value leaves out start times that do not fit (`encodeJobWithin`). */
 const jobWrite = (job: Job, sequence: number, maxBytes: number): Write => ({
   set: activeJobKey(job.spec.id),
-  value: encodeJobWithin(job, sequence, maxBytes) ?? encodeJob(job, sequence),
+  value: encodeJobWithin(job, sequence, maxBytes)?.value ?? encodeJob(job, sequence),
 });
 
 /** Overwrites jobs that the store has in another state, each in a step of its own. */
--- a/packages/controller/src/scheduler/compaction.ts
+++ b/packages/controller/src/scheduler/compaction.ts
@@ -46,8 +46,8 @@
   // This view has all log entries up to the job's cancellation. The write gives the key a new revision, so an entry that
   // completes the job in the meantime would seem to precede the cancellation, and the job would become completed after
   // users were told that it is cancelled. `cancelledFirst` keeps the order.
-  const value = encodeJobWithin({ ...job, cancelledFirst: job.cancelled }, upTo, maxBytes);
-  if (value === null) {
+  const encoded = encodeJobWithin({ ...job, cancelledFirst: job.cancelled }, upTo, maxBytes);
+  if (encoded === null) {
     recordAnomaly('oversized', 'job too large to be compacted', () => ({
       job: id,
       placed: job.placed.size,
@@ -58,7 +58,8 @@
   const key = activeJobKey(id);
   const when = jobUnchanged(id, job.revision);
   const conditions = when.reduce((sum, condition) => sum + conditionBytes(condition.key), 0);
-  return { job, write: { set: key, value }, when, bytes: writeBytes(key, jsonBytes(value)) + conditions };
+  const write = { set: key, value: encoded.value };
+  return { job, write, when, bytes: writeBytes(key, encoded.bytes) + conditions };
 };
 
 /** A transaction under construction. */
--- a/packages/controller/src/scheduler/draft-builder.ts
+++ b/packages/controller/src/scheduler/draft-builder.ts
@@ -45,6 +45,8 @@
 /** Conditions besides those of the jobs: the term, the incarnation, the preceding log entry, and one for each log entry. */
 const OTHER_CONDITIONS = 5 + MAX_ENTRIES;
 
+/** Maximum bytes of an exit: the task's number and a comma, twice if the task failed. */
+const MAX_EXIT_BYTES = 14;
 /** Minimum bytes of a start on one machine: `"vm-000001":"1",`. */
 const PLACEMENT_BYTES = 16;
 
@@ -297,6 +299,14 @@
     return first;
   }
 
+  /** Whether an empty log entry can't hold these exits. */
+  private exceedsEntry(exits: JobExits): boolean {
+    const { completed, exited } = exits;
+    if ((completed.length + exited.length) * MAX_EXIT_BYTES + HEADER_BYTES < this.valueLimit / 2)
+      return false;
+    return HEADER_BYTES + sizeOf(exits.job.spec.id, withExits(undefined, exits)) > this.valueLimit;
+  }
+
   /**
    * Adds the exits of a job's tasks with their usage rows, if they fit. Exits that one log entry can't hold are added in
    * parts.
@@ -304,8 +314,7 @@
   addExits(exits: JobExits): void {
     const { job, completed, exited } = exits;
     const { id } = job.spec;
-    const parts =
-      HEADER_BYTES + sizeOf(id, withExits(undefined, exits)) > this.valueLimit ? halves(exits) : null;
+    const parts = this.exceedsEntry(exits) ? halves(exits) : null;
     if (parts !== null) {
       for (const part of parts) this.addExits(part);
       return;
--- a/packages/controller/src/scheduler/placement-search.ts
+++ b/packages/controller/src/scheduler/placement-search.ts
@@ -93,7 +93,7 @@
     const { capacity, level, victims } = this;
     const { job, need } = this.request;
     if (isUnavailable(machine, job) || !this.mayFit(machine)) return null;
-    if ((this.tasksOn.get(machine) ?? 0) >= machine.taskSlots) return null;
+    if (this.tasksOn.size > 0 && (this.tasksOn.get(machine) ?? 0) >= machine.taskSlots) return null;
     const used = this.used.get(machine) ?? NO_RESOURCES;
     const available: Resources = [
       machine.free[0] - used[0],
--- a/packages/controller/test/stored-size.test.ts
+++ b/packages/controller/test/stored-size.test.ts
@@ -65,7 +65,7 @@
   assert.equal(jsonBytes(encodeJob(acceptedJob(full), 0)), valueBytes);
   const { status, stored } = cancelStored([storedJob(newJob('job-1', { spec: full }))]);
   assert.deepEqual([status, stored.cancelled], [200, true]);
-  assert.ok(!canBeStored(full, 1, valueBytes), 'it is not accepted any more');
+  assert.ok(!canBeStored(full, 1, 1, valueBytes), 'it is not accepted any more');
 });
 
 /** Starts and exits tasks of a job at random, within what fits into its value. Returns whether a start was cut short. */
