The bound of a job's value is computed over its tasks only where cheaper bounds don't suffice

startableTasks looked at each completed and placed task of every large waiting array in every cycle.

--- a/packages/controller/src/jobs/stored-size.ts
+++ b/packages/controller/src/jobs/stored-size.ts
@@ -13,7 +13,7 @@
 /** Maximum bytes of a loan: the lender's id, three integers and punctuation. */
 export const LOAN_BYTES = 100;
 /** Bytes of the name of a machine that the job does not run on yet, in estimates. */
-const ESTIMATED_MACHINE_BYTES = 16;
+const ESTIMATED_MACHINE_BYTES = 12;
 /** Bytes that the name of no machine exceeds, in the bound that does not look at the names. */
 const MAX_MACHINE_BYTES = 32;
 /** Bytes of `"":[],` around a machine's groups of tasks. */
@@ -70,8 +70,11 @@
   return FAILURES_KEPT * longest;
 };
 
-const placedMachines = (job: Job): Set<string> =>
-  new Set([...job.placed.values()].map(({ machine }) => machine));
+const placedMachines = (job: Job): Set<string> => {
+  const machines = new Set<string>();
+  for (const { machine } of job.placed.values()) machines.add(machine);
+  return machines;
+};
 
 /** Returns the maximum bytes that the stored value of a job can grow to while no further task is started. */
 export const maxStoredBytes = (job: Job): number =>
@@ -89,15 +92,32 @@
   return bytes;
 };
 
+/** Maximum bytes of the completed and placed tasks, without the machines, if no two of them share a range or a group. */
+const separateTasksBytes = (job: Job): number =>
+  (job.completed.size + job.placed.size) * taskBytes(job.spec) + job.placed.size * groupBytes(job.attempt);
+
 /** An upper bound of `maxStoredBytes` that takes no time for each task. */
-const quickBound = (job: Job): number => {
-  const perTask = MAX_MACHINE_BYTES + MACHINE_OVERHEAD_BYTES + groupBytes(job.attempt);
-  return (
-    fixedBytes(job.spec) +
-    (job.completed.size + job.placed.size) * taskBytes(job.spec) +
-    (job.placed.size + FAILURES_KEPT) * perTask +
-    job.loans.size * LOAN_BYTES
-  );
+const quickBound = (job: Job): number =>
+  fixedBytes(job.spec) +
+  separateTasksBytes(job) +
+  (job.placed.size + FAILURES_KEPT) * (MAX_MACHINE_BYTES + MACHINE_OVERHEAD_BYTES) +
+  job.loans.size * LOAN_BYTES;
+
+/** An upper bound of `maxStoredBytes` that looks at the placed tasks' machines only. */
+const boundByMachines = (job: Job): number => {
+  const machines = placedMachines(job);
+  let bytes = fixedBytes(job.spec) + separateTasksBytes(job) + job.loans.size * LOAN_BYTES;
+  for (const machine of machines) bytes += machineBytes(machine);
+  return bytes + failureBytes(job, machines);
+};
+
+/** Returns a bound of the job's stored value: a cheap one if it leaves `needed` of `maxBytes`, else the tightest. */
+const boundLeaving = (job: Job, needed: number, maxBytes: number): number => {
+  for (const bound of [quickBound, boundByMachines]) {
+    const bytes = bound(job);
+    if (bytes + needed <= maxBytes) return bytes;
+  }
+  return maxStoredBytes(job);
 };
 
 /** Whether the stored value of a job is certain to stay within `maxBytes` after a start. */
@@ -108,7 +128,7 @@
   maxBytes: number,
 ): boolean => {
   const added = startBytes(job, attempt, tasksByMachine);
-  return quickBound(job) + added <= maxBytes || maxStoredBytes(job) + added <= maxBytes;
+  return boundLeaving(job, added, maxBytes) + added <= maxBytes;
 };
 
 /** Returns the tasks of a start on its first machines, as many as certainly fit into `maxBytes` of the job's stored value. */
@@ -138,9 +158,8 @@
   const attempt = Math.max(attemptFloor, job.attempt) + 1;
   const perTask =
     ESTIMATED_MACHINE_BYTES + MACHINE_OVERHEAD_BYTES + groupBytes(attempt) + taskBytes(job.spec);
-  const needed = wanted * perTask;
-  if (quickBound(job) + needed <= maxBytes) return wanted;
-  return Math.max(0, Math.min(wanted, Math.floor((maxBytes - maxStoredBytes(job)) / perTask)));
+  const bytesLeft = maxBytes - boundLeaving(job, wanted * perTask, maxBytes);
+  return Math.max(0, Math.min(wanted, Math.floor(bytesLeft / perTask)));
 };
 
 /** Whether the stored value of a new job can hold `tasks` of its tasks, at most `tasksPerMachine` of them on each machine. */
