Closing jobs of large bundles in several transactions; a job asks for as many tasks as wait

Bundles written by earlier versions, with names outside ASCII, may be as large as a value: several of them in one transaction would exceed 64 KiB.

--- a/packages/controller/src/jobs/job-state.ts
+++ b/packages/controller/src/jobs/job-state.ts
@@ -11,6 +11,7 @@
 import { generationFloor, type Incarnation, incarnationOf } from '../recovery/model.js';
 import { decodeImageWeights } from '../lending/image-weights.js';
 import type { Change, Condition, Entry, Write } from '../state-store/client.js';
+import { jsonBytes } from '../state-store/transaction-limits.js';
 import {
   decodeFinalState,
   decodeJob,
@@ -47,6 +48,8 @@
 import { applyChange, type LogEntry, isComplete, type Job, type JobChange } from './model.js';
 
 const MAX_RECENT_COMPLETIONS = 1000;
+/** Maximum bytes of the bundles that one transaction rewrites. */
+const MAX_BYTES_OF_BUNDLES = 48 * 1024;
 /** Whether the job is still as it was accepted: not cancelled, and without any started task. */
 const isNew = (job: Job): boolean =>
   job.compactedTo === 0 && job.attempt === 0 && job.completed.size + job.placed.size === 0 && !job.cancelled;
@@ -380,6 +383,17 @@
     return { when, then };
   }
 
+  /**
+   * How many of these jobs, at least one, can be removed from their bundles in one transaction. Bundles written by earlier
+   * versions may be as large as a value.
+   */
+  removableTogether(ids: readonly string[]): number {
+    let count = ids.length;
+    while (count > 1 && jsonBytes(this.removalFromBundles(ids.slice(0, count)).then) > MAX_BYTES_OF_BUNDLES)
+      count--;
+    return count;
+  }
+
   private setJob(id: string, job: Job): void {
     const old = this.jobs.get(id);
     if (old && old.revision >= job.revision) return;
--- a/packages/controller/src/recovery/write-steps.ts
+++ b/packages/controller/src/recovery/write-steps.ts
@@ -140,9 +140,21 @@
   });
 };
 
+/** Divides the jobs to close into groups that one transaction can close. */
+const closingGroups = (jobState: JobState, plan: RebuildPlan, maxJobs: number): RebuildPlan['close'][] => {
+  const groups: RebuildPlan['close'][] = [];
+  for (let start = 0; start < plan.close.length;) {
+    const next = plan.close.slice(start, start + maxJobs);
+    const count = jobState.removableTogether(next.map((job) => job.id));
+    groups.push(next.slice(0, count));
+    start += count;
+  }
+  return groups;
+};
+
 /** Replaces active jobs by their final states, and removes them from their bundles. */
 const closingSteps = (jobState: JobState, plan: RebuildPlan, maxJobs: number): WriteStep[] =>
-  chunks(plan.close, maxJobs).map((finished) => {
+  closingGroups(jobState, plan, maxJobs).map((finished) => {
     const bundles = jobState.removalFromBundles(finished.map((job) => job.id));
     return {
       when: [
--- a/packages/controller/src/scheduler/maintenance.ts
+++ b/packages/controller/src/scheduler/maintenance.ts
@@ -44,7 +44,8 @@
         break;
     }
     if (finishedJobs.length === 0) return false;
-    const finals = finishedJobs.map((job) => ({
+    const count = context.jobState.removableTogether(finishedJobs.map((job) => job.spec.id));
+    const finals = finishedJobs.slice(0, count).map((job) => ({
       job,
       id: job.spec.id,
       revision: job.revision,
--- a/packages/controller/src/scheduler/tasks-to-start.ts
+++ b/packages/controller/src/scheduler/tasks-to-start.ts
@@ -46,10 +46,10 @@
   const running =
     job.placed.size - (exits ? [...job.placed.keys()].filter((task) => hasExited(exits, task)).length : 0);
   if (gang || suspect ? running > 0 : running + job.completed.size >= job.spec.tasks) return tasks;
+  const waiting = job.spec.tasks - job.completed.size - running;
   // One task of a suspect job shows as well as all tasks whether the job still fails.
-  const wanted = Math.min(maxPlaced - job.placed.size, job.spec.tasks - job.completed.size);
-  const startable = (): number => startableTasks(job, attemptFloor, Math.max(0, wanted), maxBytes);
-  const count = gang ? job.spec.tasks : suspect ? Math.min(1, startable()) : startable();
+  const wanted = Math.max(0, Math.min(suspect ? 1 : waiting, maxPlaced - job.placed.size));
+  const count = gang ? job.spec.tasks : startableTasks(job, attemptFloor, wanted, maxBytes);
   for (let task = 0; task < job.spec.tasks && tasks.length < count; task++) {
     if (
       job.completed.has(task) ||
--- a/packages/controller/test/transaction-limits.test.ts
+++ b/packages/controller/test/transaction-limits.test.ts
@@ -8,6 +8,7 @@
 import { addSamples, encodeClassDurations } from '../src/calendar/class-durations.js';
 import { encodeBundle } from '../src/jobs/codec.js';
 import { activeJobKey, JOB_BUNDLES } from '../src/jobs/keys.js';
+import { JobState } from '../src/jobs/job-state.js';
 import { acceptedJob, applyChange } from '../src/jobs/model.js';
 import { planRebuild } from '../src/recovery/rebuild-plan.js';
 import { writeSteps } from '../src/recovery/write-steps.js';
@@ -18,7 +19,7 @@
 import { wireTransaction, type Write } from '../src/state-store/client.js';
 import { jsonBytes } from '../src/state-store/transaction-limits.js';
 import { job } from './support/job.js';
-import { faultFreeController, newJob, SETTINGS, storedJob } from './support/late-store.js';
+import { faultFreeController, newJob, SETTINGS, storedJob, wire } from './support/late-store.js';
 import { LONG_CLASS, machineName, startedOneByOne, startOf } from './support/started-jobs.js';
 import { transactionViolation } from './support/transaction-rules.js';
 
@@ -72,6 +73,22 @@
   assert.equal(service.view().jobs.get('job-1')!.placed.size, 650);
 });
 
+test('finished jobs of bundles as large as values are closed in several transactions', () => {
+  const jobState = new JobState();
+  for (let i = 0; i < 5; i++) {
+    const types = ['x'.repeat(14_000)];
+    const rest = acceptedJob({ ...job('').spec, id: `job-${i + 20}`, types });
+    const value = wire(encodeBundle([acceptedJob(job(`job-${i + 10}`).spec), rest]));
+    jobState.apply({ key: `${JOB_BUNDLES}1-00000${i}`, value, revision: i + 1 });
+  }
+  const finished = Array.from({ length: 5 }, (_, i) => `job-${i + 10}`);
+  const count = jobState.removableTogether(finished);
+  assert.equal(count, 3);
+  const { when, then } = jobState.removalFromBundles(finished.slice(0, count));
+  assert.equal(transactionViolation(wireTransaction(when, then), SETTINGS.state), null);
+  assert.equal(jobState.removableTogether(['job-1', 'job-2']), 2);
+});
+
 test('a rebuild writes a job that a bundle can not hold to a key of its own', () => {
   const { node } = faultFreeController();
   const array = acceptedJob({ ...job('job-1').spec, tasks: 3000 });
