--- a/review/lib-2/cluster.mjs
+++ b/review/lib-2/cluster.mjs
@@ -401,8 +401,11 @@
     cluster.record('could not run', { reason: 'too slow' });
     void cluster.end().then(() => process.exit(2));
   }, 118_000);
-  for (const signal of ['SIGTERM', 'SIGINT'])
-    process.on(signal, () => void cluster.end().then(() => process.exit(2)));
+  for (const signal of ['SIGTERM', 'SIGINT', 'uncaughtException', 'unhandledRejection'])
+    process.on(signal, (reason) => {
+      cluster.record('could not run', { signal, reason: String(reason?.stack ?? reason) });
+      void cluster.end().then(() => process.exit(2));
+    });
   try {
     cluster.record('case', { trouble });
     await cluster.start();
@@ -413,7 +416,8 @@
   cluster.record('result', { status, broken: cluster.checks.broken, crashes: cluster.crashes });
   await cluster.end();
   process.stdout.write(`${status === 0 ? 'held' : status === 1 ? 'BROKEN' : 'could not run'}\n`);
-  process.exit(status);
+  // See lib-2/run.sh.
+  process.exit(status === 1 ? 3 : status);
 };
 
 /** Throws unless `what` becomes true in time: the case can't run. */
