--- a/review/lib-2/cluster.mjs
+++ b/review/lib-2/cluster.mjs
@@ -29,16 +29,28 @@
  * A free port below those that the system gives to outgoing connections: a controller that is down for a while must find its
  * port again.
  */
-let nextPort = 12_000 + ((process.pid * 37) % 600) * 30;
+const PORTS_PER_RUN = 30;
+const listenOn = (port) =>
+  new Promise((done) => {
+    const server = net.createServer();
+    server.on('error', () => done(null));
+    server.listen(port, '127.0.0.1', () => done(server));
+  });
+let nextPort = null;
 const freePort = async () => {
+  // The first port of the range is held for the whole run, so that another run takes another range.
+  for (let range = (process.pid * 37) % 600; nextPort === null; range = (range + 1) % 600) {
+    const held = await listenOn(12_000 + range * PORTS_PER_RUN);
+    if (held === null) continue;
+    held.unref();
+    nextPort = 12_001 + range * PORTS_PER_RUN;
+  }
   for (;;) {
     const port = nextPort++;
-    const isFree = await new Promise((done) => {
-      const server = net.createServer();
-      server.on('error', () => done(false));
-      server.listen(port, '127.0.0.1', () => server.close(() => done(true)));
-    });
-    if (isFree) return port;
+    const probe = await listenOn(port);
+    if (probe === null) continue;
+    await new Promise((done) => probe.close(done));
+    return port;
   }
 };
 
